Run the product on the platform: jobs from acceptance to their end

Sets down the shape for the platform: an adapter with a module for each peer, types of jobs, one ledger folded from the stream of each pool, a controller for each pool, and a service that answers callers from any daemon.

--- /dev/null
+++ b/azurelanding/fleet_workers.py
@@ -0,0 +1,83 @@
+"""Know the workers that have registered, and the hosts they live on."""
+
+import enum
+
+import attrs
+
+from azurelanding.tasks import Need
+
+
+class WorkerPhase(enum.Enum):
+    """What a worker says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@attrs.frozen
+class WorkerEntry:
+    """One life of a host as a worker.
+
+    ``born`` is the start of this life in milliseconds since the epoch; a worker
+    that returns under the same id has another one and knows nothing of before.
+    ``slow_for`` is in seconds: how long it stays slow after its start.
+    """
+
+    id: str
+    host: str
+    pool: str
+    address: str
+    availability_zone: str
+    room: Need
+    labels: tuple[str, ...] = ()
+    phase: WorkerPhase = WorkerPhase.READY
+    born: int = 0
+    slow_for: float = 0.0
+
+
+class HostPhase(enum.Enum):
+    """Where a host is, as the platform tells."""
+
+    UP = "up"
+    MOVING = "moving"
+    MAINTENANCE = "maintenance"
+    DOWN = "down"
+
+
+@attrs.frozen
+class HostEntry:
+    """A host of the fleet, its pool, and the worker that lives on it."""
+
+    name: str
+    pool: str
+    phase: HostPhase
+    worker: str
+    room: Need = Need()
+    labels: tuple[str, ...] = ()
+
+
+class WorkerRegistry:
+    """The registered workers by id; ``changes`` counts what has changed."""
+
+    def __init__(self):
+        self.workers = {}
+        self.changes = 0
+
+    def clear(self):
+        """Forget all workers, to be read again from the store."""
+        self.workers = {}
+        self.changes += 1
+
+    def put(self, worker_id, entry):
+        """Set the entry of a worker; ``None`` removes it."""
+        if self.workers.get(worker_id) == entry:
+            return
+        self.changes += 1
+        if entry is None:
+            self.workers.pop(worker_id, None)
+        else:
+            self.workers[worker_id] = entry
+
+    def in_pool(self, pool):
+        """Return the registered workers of a pool, by id."""
+        return {name: w for name, w in self.workers.items() if w.pool == pool}
--- /dev/null
+++ b/azurelanding/job_ends.py
@@ -0,0 +1,77 @@
+"""Decide what follows when a run of a task has ended."""
+
+from azurelanding.jobs import JobOutcome, RunEnd, task_ids
+
+REMEMBERED_WORKERS = 4
+"""Workers where a task failed that are kept in its record; enough to avoid them."""
+
+
+def _without_run(task, run):
+    copy = task.copy()
+    copy.active.pop(run, None)
+    return copy
+
+
+def note_end(draft, task_id, run, end, checkpoint, worker):
+    """Note how a run ended; return whether it was one that the log knows."""
+    state = draft.job(task_id.job)
+    if state is None or run not in state.task(task_id).active:
+        return False
+    task = _without_run(state.task(task_id), run)
+    step = state.job.steps[task_id.step]
+    if checkpoint:
+        task.checkpoint = checkpoint
+    if end is RunEnd.DONE and not step.long_running:
+        task.is_done = True
+    elif end is RunEnd.FAILED:
+        task.failures += 1
+        task.failed_on = (*task.failed_on, worker)[-REMEMBERED_WORKERS:]
+    draft.set_task(task_id, task)
+    if step.gang and end is RunEnd.DONE:
+        _finish_gang(draft, task_id, step)
+    return True
+
+
+def _finish_gang(draft, task_id, step):
+    """Count every member of a gang as done: one such end stands for all."""
+    members = task_ids(task_id.job, task_id.occurrence, task_id.step, step)
+    for member in members:
+        task = draft.job(task_id.job).task(member).copy()
+        task.is_done = True
+        draft.set_task(member, task)
+
+
+def note_lost(draft, task_id, run):
+    """Note that a run surely is not under way any more, without an end of its own."""
+    state = draft.job(task_id.job)
+    if state is not None and run in state.task(task_id).active:
+        draft.set_task(task_id, _without_run(state.task(task_id), run))
+
+
+def _has_active(state):
+    return any(task.active for task in state.tasks.values())
+
+
+def end_jobs(draft, now):
+    """End the jobs of which nothing more is to come."""
+    for state in list(draft.jobs()):
+        if state.is_over:
+            if not _has_active(state):
+                is_cancelled = state.cancelled_at is not None
+                outcome = JobOutcome.CANCELLED if is_cancelled else JobOutcome.FAILED
+                draft.end_job(state.job.id, outcome, now)
+        elif state.tasks and not state.job.is_long_running and state.all_done():
+            draft.end_job(state.job.id, JobOutcome.COMPLETED, now)
+
+
+def unwanted_runs(state):
+    """Yield the runs of a job that are to be stopped: of a job that is over."""
+    if state.is_over:
+        for task_id, task in state.tasks.items():
+            for run, worker in task.active.items():
+                yield task_id, run, worker
+    else:
+        for task_id, task in state.tasks.items():
+            if task.is_done:
+                for run, worker in task.active.items():
+                    yield task_id, run, worker
--- /dev/null
+++ b/azurelanding/job_records.py
@@ -0,0 +1,74 @@
+"""Encode the records of a pool's stream as keyed JSON values.
+
+A key is the kind of its record and a name, such as ``job/5c0e7a21d94b36f8``.
+"""
+
+import msgspec
+
+from azurelanding.jobs import TaskId, TaskState
+from azurelanding.ledger import (
+    JobCancelled,
+    JobEnded,
+    JobSubmitted,
+    TaskChanged,
+    WorkersVacated,
+    record_key,
+)
+
+TYPES = {
+    "job": JobSubmitted,
+    "cancel": JobCancelled,
+    "end": JobEnded,
+    "vacated": WorkersVacated,
+}
+
+
+class JobRecordError(ValueError):
+    """A record of a pool's stream can't be read."""
+
+
+def encode_key(key):
+    """Return the text of a key of the ledger."""
+    kind, name = key
+    return f"{kind}/{name}"
+
+
+def decode_key(text):
+    """Return the key of the ledger that ``text`` stands for."""
+    kind, _, name = text.partition("/")
+    return kind, name
+
+
+def _task_id(name):
+    job, occurrence, step, index = name.split(".")
+    return TaskId(job, int(occurrence), int(step), int(index))
+
+
+def encode_record(record):
+    """Return the key and the value of ``record``."""
+    key = record_key(record)
+    body = record.state if isinstance(record, TaskChanged) else record
+    return encode_key(key), msgspec.json.encode(body)
+
+
+def encode_drop(key):
+    """Return the key and the missing value that drop ``key``."""
+    return encode_key(key), None
+
+
+def decode_record(text, value):
+    """Return the key and the record, ``None`` for a dropped key.
+
+    Raises ``JobRecordError`` when the record can't be read.
+    """
+    key = decode_key(text)
+    if not value:
+        return key, None
+    kind, name = key
+    try:
+        if kind == "task":
+            state = msgspec.json.decode(value, type=TaskState)
+            return key, TaskChanged(_task_id(name), state)
+        return key, msgspec.json.decode(value, type=TYPES[kind])
+    except (msgspec.DecodeError, KeyError, ValueError) as error:
+        raise JobRecordError(f"{text}: {error!r}") from error
--- /dev/null
+++ b/azurelanding/job_service.py
@@ -0,0 +1,141 @@
+"""Answer callers for their jobs: accept, cancel, tell the state.
+
+Any daemon answers for any job. A job is accepted once its record is stored in the
+stream of its pool, and its state is read from there up to the moment of the question.
+"""
+
+import enum
+import time
+
+import structlog
+
+from azurelanding.appender import NotStoredError, OutcomeUnknownError
+from azurelanding.job_records import encode_record
+from azurelanding.ledger import JobCancelled, JobSubmitted
+from azurelanding.store import StoreError
+
+logger = structlog.get_logger()
+
+
+class Acceptance(enum.Enum):
+    """What became of a submission or a cancellation.
+
+    ``REFUSED`` means that it surely has no effect, ``UNKNOWN`` that it may have.
+    """
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    NO_JOB = "no-job"
+
+
+class StateUnknownError(Exception):
+    """The state of a job can't be told now."""
+
+
+class JobService:
+    """The jobs of all pools, whichever daemon controls them.
+
+    ``stream_of(pool)`` returns the ``PoolStream`` of a pool, ``streams()`` all.
+    """
+
+    def __init__(self, stream_of, streams, metrics):
+        self.stream_of = stream_of
+        self.streams = streams
+        self.metrics = metrics
+
+    def _find(self, job_id):
+        """Return the stream and the state of a job as far as known here."""
+        for stream in self.streams():
+            state = stream.ledger.jobs.get(job_id)
+            if state is not None:
+                return stream, state
+        return None, None
+
+    async def _search(self, queue, job_id):
+        """Return the stream and the state of a job as of now.
+
+        Raises ``StateUnknownError`` when the store can't be read and the job is
+        not known here.
+        """
+        stream = self.stream_of(queue.pool)
+        try:
+            await stream.follower.refresh()
+            if job_id in stream.ledger.jobs:
+                return stream, stream.ledger.jobs[job_id]
+            for other in self.streams():
+                if other is not stream:
+                    await other.follower.refresh()
+        except StoreError as error:
+            found, state = self._find(job_id)
+            if state is None:
+                raise StateUnknownError(str(error)) from error
+            return found, state
+        return self._find(job_id)
+
+    async def _append(self, stream, record, patience):
+        """Store a record and apply it here; return what became of it."""
+        encoded = [encode_record(record)]
+        try:
+            offset = await stream.appender.append(encoded, patience)
+        except NotStoredError as error:
+            return Acceptance.REFUSED, str(error)
+        except OutcomeUnknownError as error:
+            return Acceptance.UNKNOWN, str(error)
+        stream.apply_own(encoded, offset)
+        return Acceptance.ACCEPTED, f"offset {offset}"
+
+    async def submit(self, job, patience):
+        """Accept ``job``; a repeat of one that is known is accepted as it is."""
+        began = time.monotonic()
+        _, known = self._find(job.id)
+        if known is not None:
+            acceptance, detail = Acceptance.ACCEPTED, "known already"
+        else:
+            stream = self.stream_of(job.pool)
+            acceptance, detail = await self._append(stream, JobSubmitted(job), patience)
+        self.metrics.count(f"submissions_{acceptance.value}")
+        self.metrics.observe("submission_seconds", time.monotonic() - began)
+        logger.info(
+            "job submitted",
+            job=job.id,
+            queue=job.queue,
+            pool=job.pool,
+            outcome=acceptance.value,
+            detail=detail,
+        )
+        return acceptance
+
+    async def cancel(self, queue, job_id, patience):
+        """Cancel a job; return what became of it."""
+        try:
+            stream, state = await self._search(queue, job_id)
+        except StateUnknownError as error:
+            logger.info("cancellation refused", job=job_id, reason=str(error))
+            return Acceptance.REFUSED
+        if state is None:
+            acceptance, detail = Acceptance.NO_JOB, ""
+        elif state.cancelled_at is not None or state.outcome is not None:
+            acceptance, detail = Acceptance.ACCEPTED, state.phase.value
+        else:
+            record = JobCancelled(job_id, time.time())
+            acceptance, detail = await self._append(stream, record, patience)
+        self.metrics.count(f"cancellations_{acceptance.value}")
+        logger.info(
+            "job cancelled", job=job_id, outcome=acceptance.value, detail=detail
+        )
+        return acceptance
+
+    async def phase(self, queue, job_id):
+        """Return the ``JobPhase`` of a job as of now, ``None`` if there is none.
+
+        Raises ``StateUnknownError`` when neither is known.
+        """
+        _, state = self._find(job_id)
+        if state is None or state.outcome is None:
+            _, state = await self._search(queue, job_id)
+        return None if state is None else state.phase
+
+    def pending(self, queue):
+        """Return how many accepted jobs of a queue have started no task."""
+        return sum(stream.ledger.pending(queue.name) for stream in self.streams())
--- /dev/null
+++ b/azurelanding/platform/main.py
@@ -0,0 +1,131 @@
+"""Run the daemon on the platform."""
+
+import functools
+import secrets
+import signal
+import sys
+
+import anyio
+import attrs
+import structlog
+
+from azurelanding import log, served_metrics
+from azurelanding.http_server import HttpServer
+from azurelanding.platform import callers, operator, settings
+from azurelanding.platform.advice import AdviceClient
+from azurelanding.platform.hosts import HostsClient
+from azurelanding.platform.store import STATUS_TOPIC, StoreClient
+from azurelanding.platform.workers import WorkerClient, decode_entry
+from azurelanding.settings import SettingsError
+from azurelanding.site_daemon import Peers, SiteDaemon
+
+logger = structlog.get_logger()
+
+METRICS_PORT = 7075
+"""The port of the deploy file's ``metrics``."""
+NOTICE_SECONDS = 2.2
+"""How long callers still come after readiness fails: two looks, a second apart."""
+STOP_SECONDS = 4.5
+"""A process is killed six seconds after it was told to stop."""
+EXIT_BAD_SETTINGS = 2
+
+
+@attrs.frozen
+class CallerLimits:
+    """Bounds of callers' requests; times are in seconds, ``max_body`` in bytes.
+
+    An answer is given after ``patience_share`` of the caller's patience at the
+    latest, so that it arrives in time.
+    """
+
+    longest_patience: float = 3.0
+    patience_share: float = 0.85
+    retry_after: int = 1
+    max_body: int = 262_144
+
+
+def decode_operator_record(record):
+    """Return what the operator's record stands for, or ``None``."""
+    if not record.value:
+        return None
+    if record.key == operator.CONFIG_KEY:
+        return operator.decode_configuration(record.value)
+    if record.key.startswith(operator.WAVE_PREFIX):
+        return operator.decode_wave(record.key, record.value)
+    return None
+
+
+def make_peers(site):
+    """Return the clients and decoders for the peers of ``site``."""
+    return Peers(
+        make_store=functools.partial(StoreClient.from_config, site.store),
+        make_worker_client=WorkerClient.from_config,
+        make_hosts=functools.partial(HostsClient.from_config, site.hosts_address),
+        make_advice=functools.partial(AdviceClient.from_config, site.advice_address),
+        decode_operator=decode_operator_record,
+        decode_worker=lambda record: decode_entry(record.key, record.value),
+        encode_wave=operator.wave_status,
+        operator_topic="operator",
+        workers_topic="workers",
+        status_topic=STATUS_TOPIC,
+    )
+
+
+def _make_servers(site, daemon):
+    app = callers.make_app(daemon.service, daemon.find_queue, CallerLimits())
+    ready = callers.make_readiness_app(daemon.is_ready)
+    figures = callers.make_metrics_app(daemon.metrics, served_metrics.CONTENT_TYPE)
+    return [
+        HttpServer.from_config(site.callers_address, app, http="httptools"),
+        HttpServer.from_config(site.readiness_address, ready, http="httptools"),
+        HttpServer.from_config(f"{site.metrics_ip}:{METRICS_PORT}", figures),
+    ]
+
+
+async def _stop(daemon, servers):
+    """Leave the control, answer who still comes, then close."""
+    logger.info("daemon stopping", name=daemon.name)
+    with anyio.move_on_after(STOP_SECONDS):
+        await daemon.leave()
+        await anyio.sleep(NOTICE_SECONDS)
+        for server in servers:
+            await server.close()
+
+
+async def _run(site):
+    daemon = SiteDaemon(site, make_peers(site), secrets.token_hex(3))
+    servers = _make_servers(site, daemon)
+    async with anyio.create_task_group() as task_group:
+        await daemon.start(task_group)
+        for server in servers:
+            server.start(task_group)
+        watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*watched) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                _reload(site)
+            await _stop(daemon, servers)
+        task_group.cancel_scope.cancel()
+    await daemon.close()
+
+
+def _reload(site):
+    """Look at changed settings; what they change needs a restart to take effect."""
+    try:
+        changed = settings.read_settings()
+    except SettingsError as error:
+        logger.warning("changed settings unreadable", reason=str(error))
+        return
+    logger.info("settings looked at", changed=changed != site)
+
+
+def main():
+    """Run the daemon until it is told to stop."""
+    log.configure("info", sys.stdout)
+    try:
+        site = settings.read_settings()
+    except SettingsError as error:
+        logger.error("settings refused", reason=str(error))
+        sys.exit(EXIT_BAD_SETTINGS)
+    anyio.run(_run, site)
--- /dev/null
+++ b/azurelanding/platform/store.py
@@ -0,0 +1,202 @@
+"""Speak to the platform's store: a log of topics over HTTP."""
+
+import base64
+import http
+import struct
+import urllib.parse
+
+import msgspec
+
+from azurelanding.http_client import HttpClient, HttpClientError
+from azurelanding.store import (
+    HistoryLostError,
+    Membership,
+    ReadRecords,
+    StoredRecord,
+    StoreFencedError,
+    StoreRefusedError,
+    StoreSequenceError,
+    StoreSilentError,
+)
+
+LENGTH = struct.Struct(">I")
+READ_HEAD = struct.Struct(">QQ")
+COMPACTED_PREFIX = "keyed."
+CALL_TIMEOUT_SECONDS = 1.2
+"""Bounds a call; over the slowest answers of a store at 60 times its usual 4 ms."""
+OWNER_KEYS = {"operator": "keyed.op", "workers": "keyed.servers"}
+"""The topics of others: what the operator and the executors write."""
+STATUS_TOPIC = "keyed.status"
+
+
+def topic_name(topic):
+    """Return the name on the wire of one of the product's topics."""
+    return OWNER_KEYS.get(topic, COMPACTED_PREFIX + topic)
+
+
+def encode_keyed(key, value):
+    """Return one keyed record; without a value it drops the key."""
+    name = key.encode()
+    content = bytes((len(name),)) + name + (value or b"")
+    return LENGTH.pack(len(content)) + content
+
+
+def decode_records(content, start):
+    """Return ``ReadRecords`` from the answer to a read from offset ``start``."""
+    end, first = READ_HEAD.unpack_from(content)
+    position, offset, records = READ_HEAD.size, max(start, first), []
+    while position + LENGTH.size <= len(content):
+        (length,) = LENGTH.unpack_from(content, position)
+        position += LENGTH.size
+        record = content[position : position + length]
+        position += length
+        key_length = record[0] if record else 0
+        key = record[1 : 1 + key_length].decode(errors="replace")
+        records.append(StoredRecord(key, record[1 + key_length :] or None, offset))
+        offset += 1
+    return ReadRecords(tuple(records), end)
+
+
+def _decode_json(content, what):
+    try:
+        return msgspec.json.decode(content)
+    except msgspec.DecodeError as error:
+        raise StoreSilentError(f"{what}: {error}") from error
+
+
+class StoreClient:
+    """One connection to the store, one call at a time.
+
+    Each task that talks to the store holds a client of its own.
+    """
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    @classmethod
+    def from_config(cls, limits):
+        """Return a client of the store that ``limits`` name."""
+        return cls(HttpClient(limits.address, CALL_TIMEOUT_SECONDS))
+
+    async def _call(self, method, name, query, body=b"", wait=0.0):
+        target = (
+            f"/v1/{name}?{urllib.parse.urlencode(query)}" if query else f"/v1/{name}"
+        )
+        headers = (("Content-Type", "application/json"),) if body else ()
+        try:
+            return await self.connection.request(
+                method, target, body, headers, timeout=CALL_TIMEOUT_SECONDS + wait
+            )
+        except HttpClientError as error:
+            lost = StoreSilentError if error.sent else StoreRefusedError
+            raise lost(f"{name}: {error}") from error
+
+    async def append(self, topic, partition, records, producer, sequence):
+        """Append pairs of key and value and return the offset of the first.
+
+        Without records only the epoch of ``producer`` is set. Raises
+        ``StoreFencedError`` when a higher epoch was seen, ``StoreSequenceError``
+        when ``sequence`` does not follow, ``StoreRefusedError`` when surely nothing
+        was appended and ``StoreSilentError`` when that is not known.
+        """
+        query = {
+            "topic": topic_name(topic),
+            "part": partition,
+            "producer": producer.name,
+            "epoch": producer.epoch,
+            "sequence": sequence,
+        }
+        body = b"".join(encode_keyed(key, value) for key, value in records)
+        status, content = await self._call("POST", "log-append", query, body)
+        if status == http.HTTPStatus.OK:
+            answer = _decode_json(content, "log-append")
+            return answer.get("offset", answer.get("end"))
+        if status == http.HTTPStatus.CONFLICT:
+            answer = _decode_json(content, "log-append")
+            if answer.get("reason") == "seq":
+                expected = answer.get("sequence", sequence)
+                raise StoreSequenceError("out of sequence", expected)
+            raise StoreFencedError(f"epoch {producer.epoch} of {producer.name}")
+        raise StoreRefusedError(f"log-append refused with {status}: {content[:200]}")
+
+    async def read(self, topic, partition, start, wait=0.0):
+        """Return the ``ReadRecords`` from offset ``start`` on.
+
+        With none there yet the store waits up to ``wait`` seconds for one. Raises
+        ``HistoryLostError`` when they are no longer kept.
+        """
+        query = {
+            "topic": topic_name(topic),
+            "part": partition,
+            "from": start,
+            "waitMs": int(wait * 1000),
+        }
+        status, content = await self._call("GET", "log-read", query, wait=wait)
+        if status == http.HTTPStatus.GONE:
+            first = _decode_json(content, "log-read").get("first", start)
+            raise HistoryLostError(f"{topic} before {first} is gone", first)
+        if status == http.HTTPStatus.NOT_FOUND:
+            return ReadRecords((), start)
+        if status != http.HTTPStatus.OK:
+            raise StoreRefusedError(f"log-read refused with {status}: {content[:200]}")
+        try:
+            return decode_records(content, start)
+        except (struct.error, IndexError) as error:
+            raise StoreSilentError(f"log-read: {error}") from error
+
+    async def newest(self, topic, partition):
+        """Return the newest record of each key, and the end at the first page.
+
+        The pages are no snapshot: follow from the returned end.
+        """
+        records, end, after = [], None, None
+        while True:
+            query = {"topic": topic_name(topic), "part": partition}
+            if after is not None:
+                query["after"] = after
+            status, content = await self._call("GET", "log-newest", query)
+            if status == http.HTTPStatus.NOT_FOUND:
+                return ReadRecords((), 0)
+            if status != http.HTTPStatus.OK:
+                raise StoreRefusedError(f"log-newest refused with {status}")
+            page = _decode_json(content, "log-newest")
+            end = page["end"] if end is None else end
+            for item in page["items"]:
+                value = base64.b64decode(item.get("value") or "")
+                records.append(StoredRecord(item["key"], value, item["offset"]))
+                after = item["key"]
+            if not page.get("hasMore"):
+                return ReadRecords(tuple(records), end)
+
+    async def join(self, group, member, topics, generation, silence):
+        """Join a group or stay in it; return the ``Membership``.
+
+        The store takes the member's partitions away after ``silence`` seconds.
+        """
+        body = msgspec.json.encode(
+            {
+                "group": group,
+                "member": member,
+                "topics": [topic_name(topic) for topic in topics],
+                "ttlMs": int(silence * 1000),
+                "generation": generation,
+            }
+        )
+        status, content = await self._call("POST", "log-join", {}, body)
+        if status != http.HTTPStatus.OK:
+            raise StoreRefusedError(f"log-join refused with {status}: {content[:200]}")
+        answer = _decode_json(content, "log-join")
+        names = {topic_name(topic): topic for topic in topics}
+        owned = frozenset(
+            (names[row[0]], row[1]) for row in answer["parts"] if row[0] in names
+        )
+        return Membership(answer["generation"], owned)
+
+    async def leave(self, group, member):
+        """Leave a group, so that others get its partitions at once."""
+        body = msgspec.json.encode({"group": group, "member": member})
+        await self._call("POST", "log-leave", {}, body)
+
+    async def close(self):
+        """Close the connection; may be called twice."""
+        await self.connection.close()
--- /dev/null
+++ b/azurelanding/pool_control.py
@@ -0,0 +1,472 @@
+"""Control one pool: learn how runs end, decide what starts, record, then order.
+
+A decision is stored before any worker is told of it, so a controller that takes over
+knows every run that may be under way and on which worker. The epoch of the control
+refuses what an earlier controller still sends, at the store and at the workers.
+"""
+
+import time
+
+import anyio
+import structlog
+
+from azurelanding import job_ends, job_placement, leveling
+from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
+from azurelanding.fleet_workers import WorkerPhase
+from azurelanding.job_draft import JobDraft
+from azurelanding.jobs import RunEnd
+from azurelanding.ledger import WorkersVacated
+from azurelanding.pool_stream import TOPIC
+from azurelanding.store import Producer, StoreError, StoreFencedError
+from azurelanding.utils import Notifier, boot_time
+from azurelanding.worker_calls import Refusal, StartOrder, StopOrder
+from azurelanding.worker_health import WorkerHealths
+from azurelanding.worker_link import WorkerLink
+
+logger = structlog.get_logger()
+
+LOOK_SECONDS = 0.25
+"""Time between two looks at what changes without notice: due times, leases."""
+BATCH_SECONDS = 0.004
+"""Time to gather events that come together; under the time of one append."""
+STORE_PATIENCE_SECONDS = 3600.0
+"""A controller waits for the store as long as it holds its pool."""
+FULL_PAUSE_SECONDS = 0.4
+"""How long a worker that refused for want of room gets no start."""
+TASK_PAUSE_SECONDS = 0.5
+"""How long a task rests after a start that was refused."""
+TAKEOVER_SLACK_SECONDS = 2.0
+"""How long a controller that was overtaken may still extend a worker's lease."""
+
+
+class ControlLostError(Exception):
+    """Another daemon controls the pool."""
+
+
+class PoolController:
+    """The control of one pool under one epoch, until it is lost.
+
+    ``duties()`` returns the names of the hosts that are to be emptied, ``queues``
+    looks up a queue by name. ``make_worker_client(entry, epoch)`` returns a client.
+    """
+
+    def __init__(self, pool, epoch, stream, daemon):
+        self.pool = pool
+        self.epoch = epoch
+        self.stream = stream
+        self.ledger = stream.ledger
+        self.daemon = daemon
+        self.site = daemon.site
+        self.metrics = daemon.metrics
+        producer = Producer(f"control-{pool}", epoch)
+        self.appender = Appender(
+            TOPIC, stream.partition, stream.make_client(), producer, self.lose
+        )
+        self.links = {}
+        self.scopes = {}
+        self.rests = {}
+        self.healths = WorkerHealths()
+        self.levels = leveling.Levels(daemon.site.timing.harm)
+        self.tickets = daemon.make_tickets()
+        self.registered = {}
+        self.is_lost = False
+        self.is_due = True
+        self.due = Notifier()
+        self.started_at = boot_time()
+
+    def lose(self):
+        """Note that the control is lost."""
+        self.is_lost = True
+        self.wake()
+
+    def wake(self):
+        """Ask for a decision."""
+        self.is_due = True
+        self.due.notify()
+
+    async def run(self):
+        """Control the pool until cancelled.
+
+        Raises ``ControlLostError`` once another daemon controls it.
+        """
+        await self._take_over()
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self.appender.run)
+            task_group.start_soon(self._follow_stream)
+            task_group.start_soon(self.tickets.run)
+            try:
+                await self._decide_until_lost(task_group)
+            finally:
+                task_group.cancel_scope.cancel()
+                await self._close()
+        raise ControlLostError(f"{self.pool} under epoch {self.epoch}")
+
+    async def _take_over(self):
+        """Refuse earlier controllers at the store, then read all they have written."""
+        while not self.is_lost:
+            try:
+                await self.appender.client.append(
+                    TOPIC, self.stream.partition, (), self.appender.producer, 0
+                )
+                await self.stream.follower.refresh()
+                break
+            except StoreFencedError as error:
+                logger.info("pool already taken", pool=self.pool, reason=str(error))
+                raise ControlLostError(str(error)) from error
+            except StoreError as error:
+                logger.info("takeover waits", pool=self.pool, reason=str(error))
+                await anyio.sleep(LOOK_SECONDS)
+        self.started_at = boot_time()
+        logger.info(
+            "pool taken over",
+            pool=self.pool,
+            epoch=self.epoch,
+            jobs=len(self.ledger.active),
+            workers=len(self.ledger.placed),
+        )
+        self.metrics.count("takeovers")
+
+    async def _follow_stream(self):
+        while True:
+            await self.stream.follower.changes.wait()
+            self.wake()
+
+    async def _decide_until_lost(self, task_group):
+        while not self.is_lost:
+            with anyio.move_on_after(LOOK_SECONDS):
+                await self.due.wait_until(lambda: self.is_due)
+            if self.is_due:
+                await anyio.sleep(BATCH_SECONDS)
+            self.is_due = False
+            self._match_links(task_group)
+            await self._decide()
+
+    # Workers
+
+    def _is_wanted(self, worker_id):
+        return worker_id in self.registered or worker_id in self.ledger.placed
+
+    def _match_links(self, task_group):
+        """Follow each registered worker, and drop those that are over."""
+        self.registered = self.daemon.registry.in_pool(self.pool)
+        for worker_id, entry in self.registered.items():
+            link = self.links.get(worker_id)
+            if link is not None and self._is_reborn(link, entry):
+                self._drop_link(worker_id)
+                link = None
+            if link is None:
+                self._add_link(entry, task_group)
+            elif link.entry != entry:
+                link.entry = entry
+        for worker_id, link in list(self.links.items()):
+            if link.is_fenced:
+                self.lose()
+            if not self._is_wanted(worker_id):
+                self._drop_link(worker_id)
+
+    def _is_reborn(self, link, entry):
+        """Tell whether an entry is that of a later life at another address."""
+        if link.entry.address != entry.address:
+            return True
+        return link.is_gone and entry.born > link.born
+
+    def _add_link(self, entry, task_group):
+        link = WorkerLink(
+            entry,
+            lambda worker: self.daemon.make_worker_client(worker, self.epoch),
+            self.site.timing.longest_lease,
+            self.wake,
+        )
+        for key in self.ledger.placed.get(entry.id, ()):
+            link.expect(key)
+        scope = anyio.CancelScope()
+        self.links[entry.id], self.scopes[entry.id] = link, scope
+        task_group.start_soon(self._serve_link, link, scope)
+
+    async def _serve_link(self, link, scope):
+        with scope:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(link.follow)
+                task_group.start_soon(link.send_orders)
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+            await link.close()
+
+    def _drop_link(self, worker_id):
+        self.links.pop(worker_id)
+        self.scopes.pop(worker_id).cancel()
+
+    # Decisions
+
+    async def _decide(self):
+        """Take one decision over all that is known, store it, then act on it."""
+        draft = JobDraft(self.ledger, self.pool)
+        seen = self._note_ends(draft)
+        self._note_losses(draft)
+        self._note_vacated(draft)
+        job_ends.end_jobs(draft, time.time())
+        starts = self._place(draft)
+        records = draft.records()
+        if records and not await self._store(records):
+            return
+        for link, number in seen:
+            link.acknowledge(number)
+        for worker_id, order in starts:
+            self.links[worker_id].order(order)
+        self._stop_unwanted()
+        self._level()
+
+    async def _store(self, records):
+        """Store a decision; return whether it counts."""
+        try:
+            offset = await self.appender.append(records, STORE_PATIENCE_SECONDS)
+        except (NotStoredError, OutcomeUnknownError) as error:
+            logger.warning("decision not stored", pool=self.pool, reason=str(error))
+            self.lose()
+            return False
+        self.stream.apply_own(records, offset)
+        return True
+
+    def _note_ends(self, draft):
+        """Note the ends that workers list; return how far each was taken in."""
+        seen = []
+        for link in self.links.values():
+            for number in sorted(link.ends):
+                end = link.ends[number]
+                known = job_ends.note_end(
+                    draft, end.task, end.run, end.end, end.checkpoint, link.entry.id
+                )
+                link.forget((end.task, end.run))
+                self._log_end(link, end, known)
+            if link.ends:
+                seen.append((link, max(link.ends)))
+        return seen
+
+    def _log_end(self, link, end, known):
+        if known and end.end is RunEnd.DONE:
+            self.healths.note_done(link.entry.id)
+        elif known and end.end is RunEnd.FAILED:
+            self.healths.note_failed(link.entry.id, end.task.job, boot_time())
+        self.metrics.count(f"ends_{end.end.value}")
+        logger.info(
+            "run ended",
+            job=end.task.job,
+            task=str(end.task),
+            run=end.run,
+            worker=link.entry.id,
+            end=end.end.value,
+            counted=known,
+        )
+
+    def _note_losses(self, draft):
+        """Free the runs that surely are not under way any more."""
+        now = boot_time()
+        for worker_id, link in list(self.links.items()):
+            for (task, run), refusal in link.not_started:
+                self._note_refused(draft, link, task, run, refusal)
+            link.not_started = []
+            for task, run in link.lost:
+                self._free(draft, link, task, run, "not listed by its worker")
+            link.lost = []
+            if link.is_gone or now > link.leased_until:
+                reason = "worker gone" if link.is_gone else "lease over"
+                for task, run in list(self.ledger.placed.get(worker_id, ())):
+                    self._free(draft, link, task, run, reason)
+        self._note_unlinked(draft, now)
+
+    def _note_unlinked(self, draft, now):
+        """Free the runs on workers that no entry names, once their lease is over."""
+        lease = self.site.timing.longest_lease
+        if now < self.started_at + TAKEOVER_SLACK_SECONDS + 1.05 * lease:
+            return
+        for worker_id in self.ledger.placed.keys() - self.links.keys():
+            for task, run in list(self.ledger.placed[worker_id]):
+                job_ends.note_lost(draft, task, run)
+                logger.info("run freed", task=str(task), run=run, reason="no worker")
+
+    def _free(self, draft, link, task, run, reason):
+        job_ends.note_lost(draft, task, run)
+        link.forget((task, run))
+        if not link.is_gone:
+            # A start without an answer may still be carried out.
+            link.stop_first(task, run)
+        logger.info(
+            "run freed",
+            job=task.job,
+            task=str(task),
+            run=run,
+            worker=link.entry.id,
+            reason=reason,
+        )
+
+    def _note_refused(self, draft, link, task, run, refusal):
+        now = boot_time()
+        job_ends.note_lost(draft, task, run)
+        link.forget((task, run))
+        self.rests[task] = now + TASK_PAUSE_SECONDS
+        if refusal is Refusal.NO_ROOM:
+            link.paused_until = max(link.paused_until, now + FULL_PAUSE_SECONDS)
+            self.rests.pop(task)
+        if refusal is Refusal.NO_TICKET:
+            self.tickets.forget(task, link.entry.id)
+        self.metrics.count(f"start_refused_{refusal.value if refusal else 'none'}")
+        logger.info(
+            "start refused",
+            job=task.job,
+            task=str(task),
+            run=run,
+            worker=link.entry.id,
+            reason=refusal.value if refusal else None,
+        )
+
+    # Placement
+
+    def _usable(self, link, cordoned):
+        entry, now = link.entry, boot_time()
+        return (
+            entry.id in self.registered
+            and entry.phase is WorkerPhase.READY
+            and entry.host not in cordoned
+            and link.is_sure
+            and not (link.is_gone or link.is_silent)
+            and now >= link.paused_until
+            and not self.healths.is_shut(entry.id, now)
+        )
+
+    def _rooms(self, draft, cordoned):
+        """Return the rooms of the usable workers, less what runs there."""
+        rooms = {}
+        for link in self.links.values():
+            if self._usable(link, cordoned):
+                entry = link.entry
+                rack = next((label for label in entry.labels if "-" in label), "")
+                rooms[entry.id] = job_placement.WorkerRoom(
+                    entry.id,
+                    entry.room.cores,
+                    entry.room.memory,
+                    entry.room.accelerators,
+                    entry.room,
+                    rack,
+                    frozenset(entry.labels),
+                    self.healths.penalty(entry.id) + entry.slow_for,
+                )
+        for state in draft.jobs():
+            for task_id, task in state.tasks.items():
+                for worker in task.active.values():
+                    if worker in rooms:
+                        key = (state.job.id, task_id.occurrence, task_id.step)
+                        rooms[worker].take(state.job.steps[task_id.step], key)
+        return rooms
+
+    def _rests(self, task_id):
+        until = self.rests.get(task_id)
+        if until is None:
+            return False
+        if boot_time() < until:
+            return True
+        del self.rests[task_id]
+        return False
+
+    def _place(self, draft):
+        """Place what is ready; return the orders by worker."""
+        now = time.time()
+        ready = [
+            step
+            for state in draft.jobs()
+            for step in job_placement.ready_steps(state, now, self._rests)
+        ]
+        if not ready:
+            return []
+        rooms = self._rooms(draft, self.daemon.cordoned(self.pool))
+        ready.sort(key=lambda step: job_placement.urgency(step, now))
+        starts = []
+        for step in ready:
+            usable = self.tickets.usable(step, rooms, self.wake)
+            for placed in job_placement.place(step, usable):
+                starts.append(self._start(draft, step, placed))
+        return starts
+
+    def _start(self, draft, ready, placed):
+        job, task_id = ready.state.job, placed.task
+        task = draft.job(job.id).task(task_id).copy()
+        task.last_run = self._next_run(draft, ready, task)
+        task.active[task.last_run] = placed.worker
+        draft.set_task(task_id, task)
+        logger.info(
+            "task placed",
+            job=job.id,
+            task=str(task_id),
+            run=task.last_run,
+            worker=placed.worker,
+            failures=task.failures,
+        )
+        self.metrics.count("starts")
+        self.metrics.observe("start_seconds", time.time() - job.submitted_at)
+        ticket = self.tickets.ticket(ready, placed.worker)
+        spec, saved = job.spec, task.checkpoint
+        order = StartOrder(task_id, task.last_run, spec, saved, ticket)
+        return placed.worker, order
+
+    def _next_run(self, draft, ready, task):
+        """Return the next run of a task; the members of a gang share theirs."""
+        if not ready.step.gang:
+            return task.last_run + 1
+        known = self.ledger.active[ready.state.job.id]
+        return 1 + max(known.task(member).last_run for member in ready.tasks)
+
+    # Orders beside starts
+
+    def _stop_unwanted(self):
+        """Stop the runs of jobs that are over, and those that the log does not know."""
+        for state in list(self.ledger.active.values()):
+            if state.job.pool != self.pool:
+                continue
+            for task_id, run, worker in job_ends.unwanted_runs(state):
+                self._stop(worker, task_id, run, "job over")
+        for worker_id, link in self.links.items():
+            placed = self.ledger.placed.get(worker_id, {})
+            for task_id, run in link.listed:
+                if (task_id, run) not in placed and (task_id, run) not in link.runs:
+                    self._stop(worker_id, task_id, run, "unknown run")
+
+    def _stop(self, worker_id, task_id, run, reason):
+        """Order a stop, once for each report of the worker."""
+        link = self.links.get(worker_id)
+        if link is None or link.stops.get((task_id, run)) == link.report_count:
+            return
+        link.stops[task_id, run] = link.report_count
+        link.order(StopOrder(task_id, run))
+        logger.info(
+            "stop ordered",
+            job=task_id.job,
+            task=str(task_id),
+            run=run,
+            worker=worker_id,
+            reason=reason,
+        )
+        self.metrics.count("stops")
+
+    def _level(self):
+        """Slow down what fills beside tasks that miss their target."""
+        for link in self.links.values():
+            for order in self.levels.orders(link, self.ledger):
+                link.order(order)
+
+    # Emptying workers
+
+    def _note_vacated(self, draft):
+        """Record which workers this controller keeps empty for their hosts' sake."""
+        cordoned = self.daemon.cordoned(self.pool)
+        workers = tuple(
+            sorted(
+                entry.id for entry in self.registered.values() if entry.host in cordoned
+            )
+        )
+        if workers != self.ledger.vacated.get(self.pool, ()):
+            draft.add(WorkersVacated(self.pool, workers))
+
+    async def _close(self):
+        for scope in self.scopes.values():
+            scope.cancel()
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+            await self.appender.close()
+            await self.tickets.close()
--- /dev/null
+++ b/azurelanding/site_state.py
@@ -0,0 +1,74 @@
+"""Hold what the store says of the site: its configuration, waves and workers."""
+
+import structlog
+
+from azurelanding.configuration import Configuration
+from azurelanding.utils import Notifier
+
+logger = structlog.get_logger()
+
+
+class OperatorFold:
+    """The newest configuration and the waves by number.
+
+    ``decode(record)`` returns a ``Configuration``, a ``Wave`` or ``None``.
+    """
+
+    def __init__(self, decode):
+        self.decode = decode
+        self.configuration = None
+        self.waves = {}
+        self.changes = Notifier()
+
+    def clear(self):
+        """Keep what is known: the newest records replace it."""
+
+    def load_order(self, record):
+        """Return where a record stands when the newest of each key are loaded."""
+        return record.offset
+
+    def apply_stored(self, record):
+        """Apply one ``StoredRecord``; what can't be read changes nothing."""
+        decoded = self.decode(record)
+        if decoded is None:
+            return
+        if isinstance(decoded, Configuration):
+            self._put_in_force(decoded)
+        else:
+            self.waves[decoded.number] = decoded
+            logger.info("wave asked for", wave=decoded.number, hosts=len(decoded.hosts))
+        self.changes.notify()
+
+    def _put_in_force(self, configuration):
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        logger.info(
+            "configuration in force",
+            version=configuration.version,
+            queues=len(configuration.queues),
+        )
+
+
+class WorkersFold:
+    """The workers' entries, in a ``WorkerRegistry``.
+
+    ``decode(record)`` returns a ``WorkerEntry`` or ``None``.
+    """
+
+    def __init__(self, decode, registry):
+        self.decode = decode
+        self.registry = registry
+
+    def clear(self):
+        """Forget all workers."""
+        self.registry.clear()
+
+    def load_order(self, record):
+        """Return where a record stands when the newest of each key are loaded."""
+        return record.offset
+
+    def apply_stored(self, record):
+        """Apply one ``StoredRecord``."""
+        self.registry.put(record.key, self.decode(record) if record.value else None)
--- a/azurelanding/utils.py
+++ b/azurelanding/utils.py
@@ -1,8 +1,15 @@
 """Hold small tools that several packages need."""
 
+import time
+
 import anyio
 
 
+def boot_time():
+    """Return seconds that also count while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Notifier:
     """Wakes every task that waits for a change.
 
