Carry out waves: plan, empty, order, tell

The holder of the fleet's stream plans which host is emptied, the pool's controller records that it keeps the worker empty, and then the holder orders. A worker whose life an order has ended gets no task and frees its runs at once, and the lease of a silent worker is not extended, so its runs are free once it is over.

--- /dev/null
+++ b/azurelanding/evacuation.py
@@ -0,0 +1,61 @@
+"""Choose the long-running tasks that leave a worker which is about to end.
+
+Of a step with ``may_miss`` no more tasks than that may be away at once, counted with
+those that are not at work for any other cause.
+"""
+
+from azurelanding.job_placement import ReadyStep, pick_room
+from azurelanding.jobs import task_ids
+
+
+def _is_at_work(task_id, task, listed):
+    runs = [listed.get((task_id, run)) for run in task.active]
+    return any(run is not None and run.at_work >= 1.0 for run in runs)
+
+
+def count_away(state, occurrence, number, listed):
+    """Return how many tasks of a step are not at work, as their workers list."""
+    step = state.job.steps[number]
+    return sum(
+        not _is_at_work(task_id, state.task(task_id), listed)
+        for task_id in task_ids(state.job.id, occurrence, number, step)
+    )
+
+
+def _long_running(ledger, pool, workers):
+    for worker in workers:
+        for task_id, run in list(ledger.placed.get(worker, ())):
+            state = ledger.active.get(task_id.job)
+            if state is None or state.job.pool != pool or state.is_over:
+                continue
+            if state.job.steps[task_id.step].long_running:
+                yield state, task_id, run, worker
+
+
+def runs_to_move(ledger, pool, leaving, draining, listed, rooms):
+    """Yield the runs to stop now, as task, run and worker.
+
+    Workers in ``leaving`` wait until they are empty, those in ``draining`` do not.
+    ``listed`` maps task and run to what the workers list of it, and ``rooms`` what
+    the other workers have left.
+    """
+    away = {}
+    for _, task_id, run, worker in _long_running(ledger, pool, draining):
+        yield task_id, run, worker
+        key = (task_id.job, task_id.occurrence, task_id.step)
+        away[key] = away.get(key, 0) + 1
+    for state, task_id, run, worker in _long_running(ledger, pool, leaving - draining):
+        step = state.job.steps[task_id.step]
+        key = (task_id.job, task_id.occurrence, task_id.step)
+        missing = away.get(key, 0)
+        missing += count_away(state, task_id.occurrence, task_id.step, listed)
+        is_at_work = _is_at_work(task_id, state.task(task_id), listed)
+        if step.may_miss and is_at_work and missing >= step.may_miss:
+            continue
+        ready = ReadyStep(state, task_id.occurrence, task_id.step, (task_id,))
+        room = pick_room(ready, rooms.values(), ())
+        if room is None:
+            continue
+        room.take(step, ready.key)
+        away[key] = away.get(key, 0) + 1
+        yield task_id, run, worker
--- /dev/null
+++ b/azurelanding/fleet_records.py
@@ -0,0 +1,63 @@
+"""Describe and encode what is decided about the hosts of the fleet."""
+
+import attrs
+import msgspec
+
+
+@attrs.frozen
+class HostPlan:
+    """A host is to be emptied, then maintained or moved.
+
+    ``worker`` is the life of the host that the plan is about. ``wave`` is the number
+    of the wave for a maintenance, ``pool`` the new pool for a move. ``made_at`` is
+    in seconds since the epoch. Once ``is_ordered`` that life is over.
+    """
+
+    host: str
+    worker: str
+    made_at: float
+    wave: int | None = None
+    pool: str = ""
+    is_ordered: bool = False
+
+
+@attrs.frozen
+class WaveProgress:
+    """The hosts of a wave whose maintenance has begun, and whether that was all."""
+
+    wave: int
+    begun: tuple[str, ...] = ()
+    is_complete: bool = False
+
+
+TYPES = {"host": HostPlan, "wave": WaveProgress}
+
+
+class FleetRecordError(ValueError):
+    """A record of the fleet's stream can't be read."""
+
+
+def encode_record(record):
+    """Return the key and the value of ``record``."""
+    if isinstance(record, HostPlan):
+        return f"host/{record.host}", msgspec.json.encode(record)
+    return f"wave/{record.wave}", msgspec.json.encode(record)
+
+
+def encode_drop(host):
+    """Return the key and the missing value that drop the plan for ``host``."""
+    return f"host/{host}", None
+
+
+def decode_record(key, value):
+    """Return the kind, the name and the record, ``None`` for a dropped key.
+
+    Raises ``FleetRecordError`` when it can't be read.
+    """
+    kind, _, name = key.partition("/")
+    if not value:
+        return kind, name, None
+    try:
+        return kind, name, msgspec.json.decode(value, type=TYPES[kind])
+    except (msgspec.DecodeError, KeyError) as error:
+        raise FleetRecordError(f"{key}: {error!r}") from error
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -14,7 +14,7 @@
 from azurelanding.platform import callers, operator, settings
 from azurelanding.platform.advice import AdviceClient
 from azurelanding.platform.hosts import HostsClient
-from azurelanding.platform.store import STATUS_TOPIC, StoreClient
+from azurelanding.platform.store import StoreClient
 from azurelanding.platform.workers import WorkerClient, decode_entry
 from azurelanding.settings import SettingsError
 from azurelanding.site_daemon import Peers, SiteDaemon
@@ -67,7 +67,7 @@
         encode_wave=operator.wave_status,
         operator_topic="operator",
         workers_topic="workers",
-        status_topic=STATUS_TOPIC,
+        status_topic="status",
     )
 
 
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -24,14 +24,18 @@
 COMPACTED_PREFIX = "keyed."
 CALL_TIMEOUT_SECONDS = 1.2
 """Bounds a call; over the slowest answers of a store at 60 times its usual 4 ms."""
-OWNER_KEYS = {"operator": "keyed.op", "workers": "keyed.servers"}
-"""The topics of others: what the operator and the executors write."""
-STATUS_TOPIC = "keyed.status"
+SHARED_TOPICS = {
+    "operator": "keyed.op",
+    "workers": "keyed.servers",
+    "status": "keyed.status",
+}
+"""The topics that the platform names: what the operator and the executors write, and
+what the operator reads."""
 
 
 def topic_name(topic):
     """Return the name on the wire of one of the product's topics."""
-    return OWNER_KEYS.get(topic, COMPACTED_PREFIX + topic)
+    return SHARED_TOPICS.get(topic, COMPACTED_PREFIX + topic)
 
 
 def encode_keyed(key, value):
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -10,7 +10,7 @@
 import anyio
 import structlog
 
-from azurelanding import job_ends, job_placement, leveling
+from azurelanding import evacuation, job_ends, job_placement, leveling
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.job_draft import JobDraft
@@ -21,7 +21,7 @@
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import Refusal, StartOrder, StopOrder
 from azurelanding.worker_health import WorkerHealths
-from azurelanding.worker_link import WorkerLink
+from azurelanding.worker_link import TAKEOVER_SLACK_SECONDS, WorkerLink
 
 logger = structlog.get_logger()
 
@@ -35,8 +35,6 @@
 """How long a worker that refused for want of room gets no start."""
 TASK_PAUSE_SECONDS = 0.5
 """How long a task rests after a start that was refused."""
-TAKEOVER_SLACK_SECONDS = 2.0
-"""How long a controller that was overtaken may still extend a worker's lease."""
 
 
 class ControlLostError(Exception):
@@ -213,6 +211,7 @@
         for worker_id, order in starts:
             self.links[worker_id].order(order)
         self._stop_unwanted()
+        self._evacuate()
         self._level()
 
     async def _store(self, records):
@@ -259,8 +258,9 @@
 
     def _note_losses(self, draft):
         """Free the runs that surely are not under way any more."""
-        now = boot_time()
+        now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
+            link.is_gone = link.is_gone or worker_id in ended
             for (task, run), refusal in link.not_started:
                 self._note_refused(draft, link, task, run, refusal)
             link.not_started = []
@@ -325,7 +325,7 @@
         return (
             entry.id in self.registered
             and entry.phase is WorkerPhase.READY
-            and entry.host not in cordoned
+            and entry.id not in cordoned
             and link.is_sure
             and not (link.is_gone or link.is_silent)
             and now >= link.paused_until
@@ -376,7 +376,7 @@
         ]
         if not ready:
             return []
-        rooms = self._rooms(draft, self.daemon.cordoned(self.pool))
+        rooms = self._rooms(draft, self.daemon.cordoned())
         ready.sort(key=lambda step: job_placement.urgency(step, now))
         starts = []
         for step in ready:
@@ -455,15 +455,30 @@
 
     def _note_vacated(self, draft):
         """Record which workers this controller keeps empty for their hosts' sake."""
-        cordoned = self.daemon.cordoned(self.pool)
-        workers = tuple(
-            sorted(
-                entry.id for entry in self.registered.values() if entry.host in cordoned
-            )
-        )
+        cordoned = self.daemon.cordoned()
+        workers = tuple(sorted(cordoned & self.registered.keys()))
         if workers != self.ledger.vacated.get(self.pool, ()):
             draft.add(WorkersVacated(self.pool, workers))
 
+    def _evacuate(self):
+        """Stop long-running tasks on workers that are about to end."""
+        leaving = self.daemon.cordoned() & self.links.keys()
+        draining = {
+            worker_id
+            for worker_id, entry in self.registered.items()
+            if entry.phase is WorkerPhase.DRAINING
+        }
+        if not (leaving | draining):
+            return
+        rooms = self._rooms(JobDraft(self.ledger, self.pool), leaving | draining)
+        listed = {}
+        for link in self.links.values():
+            listed.update(link.listed)
+        for task_id, run, worker in evacuation.runs_to_move(
+            self.ledger, self.pool, leaving, draining, listed, rooms
+        ):
+            self._stop(worker, task_id, run, "worker about to end")
+
     async def _close(self):
         for scope in self.scopes.values():
             scope.cancel()
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -4,7 +4,9 @@
 import attrs
 import structlog
 
-from azurelanding.fleet_duty import FleetDuty, FleetFold
+from azurelanding.fleet_duty import TOPIC as FLEET_TOPIC
+from azurelanding.fleet_duty import FleetDuty
+from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_workers import WorkerRegistry
 from azurelanding.job_service import JobService
 from azurelanding.membership import GroupMember, partition_of
@@ -17,7 +19,6 @@
 
 logger = structlog.get_logger()
 
-FLEET_TOPIC = "fleet"
 CONFIGURATION_WAIT_SECONDS = 1.0
 """How long the store holds a read for a configuration; a silent connection shows
 within twice that, which leaves time to apply a configuration within two seconds."""
@@ -113,9 +114,34 @@
         fleet = self.member.epoch_of(FLEET_TOPIC, 0) is not None
         return CONTROL_PAUSE_SECONDS if held or fleet else WATCH_PAUSE_SECONDS
 
-    def cordoned(self, pool):
-        """Return the hosts of a pool that are to be emptied."""
-        return self.fleet.cordoned(pool)
+    def cordoned(self):
+        """Return the workers that are to be emptied."""
+        return self.fleet.cordoned()
+
+    def placed(self):
+        """Return the runs that may be on each worker, over all pools."""
+        placed = {}
+        for stream in self.streams.values():
+            placed.update(stream.ledger.placed)
+        return placed
+
+    def vacated(self, pool):
+        """Return the workers that the controller of a pool keeps empty."""
+        return self.stream_of(pool).ledger.vacated.get(pool, ())
+
+    def is_bounded(self, task_id):
+        """Tell whether the absence of a task's step is bounded."""
+        for stream in self.streams.values():
+            state = stream.ledger.active.get(task_id.job)
+            if state is not None and not state.is_over:
+                step = state.job.steps[task_id.step]
+                return step.long_running and step.may_miss > 0
+        return False
+
+    def standby_pools(self):
+        """Return the pools whose hosts are off."""
+        pools = self.operator.configuration.pools.values()
+        return {pool.name for pool in pools if pool.standby}
 
     def find_advice(self, queue_name):
         """Return the ``Advice`` of a queue, or ``None``."""
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -32,6 +32,8 @@
 """How much slower than ours a worker's clock may run, as a share."""
 LEASE_SLACK_SECONDS = 0.3
 """Added to a lease for the way of the last call that extended it."""
+TAKEOVER_SLACK_SECONDS = 2.0
+"""How long a controller that was overtaken may still extend a worker's lease."""
 UNHEALTHY_PAUSE_SECONDS = 1.0
 """How long a worker that refused as unhealthy gets no start."""
 
@@ -67,9 +69,11 @@
         self.is_sure = False
         self.is_gone = False
         self.is_fenced = False
+        self.is_failing = False
         self.heard_at = None
         self.clock = None
-        self.leased_until = boot_time() + lease * (1 + CLOCK_ERROR) + HOLD_WAIT_SECONDS
+        longest = lease * (1 + CLOCK_ERROR) + TAKEOVER_SLACK_SECONDS
+        self.leased_until = boot_time() + longest
         self.paused_until = 0.0
         self.report_count = 0
 
@@ -80,15 +84,19 @@
         return self.heard_at is None or boot_time() > self.heard_at + silence
 
     def lease_end(self):
-        """Return the end of a full lease on the worker's clock, or ``None``."""
-        if self.clock is None:
+        """Return the end of a full lease on the worker's clock, or ``None``.
+
+        There is none after a call without an answer: the lease is to run out if the
+        worker can't be reached, so that its tasks may start elsewhere.
+        """
+        if self.clock is None or self.is_failing:
             return None
         told, at = self.clock
         return told + (boot_time() - at) + self.lease
 
     def _note_lease(self):
         """Note that a call that extends the lease is about to be sent."""
-        if self.clock is not None:
+        if self.clock is not None and not self.is_failing:
             end = boot_time() + self.lease * (1 + CLOCK_ERROR) + LEASE_SLACK_SECONDS
             self.leased_until = max(self.leased_until, end)
 
@@ -103,13 +111,14 @@
         self.notify()
 
     async def _hold(self):
-        wait = 0.0 if self.clock is None or self.ends else HOLD_WAIT_SECONDS
+        is_quick = self.clock is None or self.is_failing or self.ends
+        wait = 0.0 if is_quick else HOLD_WAIT_SECONDS
         self._note_lease()
         sent_at = boot_time()
         try:
             report = await self.holder.hold(self.seen, self.lease_end(), wait)
         except WorkerSilentError as error:
-            logger.debug("no report", worker=self.entry.id, reason=str(error))
+            self._note_silence(error)
             await anyio.sleep(RETRY_SECONDS)
         except WorkerGoneError as error:
             self._go(str(error))
@@ -119,6 +128,11 @@
         else:
             self._take(report, sent_at)
 
+    def _note_silence(self, error):
+        if not self.is_failing:
+            logger.info("worker silent", worker=self.entry.id, reason=str(error))
+        self.is_failing = True
+
     def _go(self, reason):
         logger.info("worker gone", worker=self.entry.id, reason=reason)
         self.is_gone = True
@@ -138,6 +152,7 @@
             self.born, self.seen, self.ends = report.born, 0, {}
         self.clock = (report.clock, boot_time())
         self.heard_at = boot_time()
+        self.is_failing = False
         self.report_count += 1
         self.listed = {(run.task, run.run): run for run in report.runs}
         fresh = [end for end in report.ends if end.number > self.seen]
