--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -30,6 +30,8 @@
 EMPTY_PATIENCE_SECONDS = 4.0
 """How long a host may take to get empty before its tasks are ended; they then start
 again elsewhere. Tasks whose absence is bounded are waited for in any case."""
+MOVE_PATIENCE_SECONDS = 3.0
+"""How long a host that is to move may take to get empty before it stays."""
 LAST_WAVE_SHARE = 0.75
 """Share of a wave's time after which its hosts are no longer waited for so long."""
 STORE_PATIENCE_SECONDS = 5.0
@@ -135,7 +137,21 @@
             return False
         if self._open_waves() or self.fold.pending():
             return True
-        return self.sizes.is_due(self.daemon, boot_time())
+        if not self.hosts:
+            return True
+        now = boot_time()
+        self.sizes.note(self._gaps(), now)
+        return self.sizes.is_due(self._gaps(), now)
+
+    def _gaps(self):
+        """Return by pool how many hosts it wants beyond those it has."""
+        return self.sizes.gaps(
+            self.daemon.states_of,
+            self.daemon.operator.configuration.pools_in_use(),
+            self.hosts,
+            self.fold.pending(),
+            time.time(),
+        )
 
     async def _look(self, epoch):
         """Look at the hosts once, plan what is to be emptied, order what is empty."""
@@ -198,12 +214,26 @@
             if plan.host not in self.hosts
             or self.hosts[plan.host].worker != plan.worker
             or self.hosts[plan.host].phase is not HostPhase.UP
+            or self._is_overdue(plan)
         ]
         await self._store([fleet_records.encode_drop(host) for host in stale])
 
+    def _is_overdue(self, plan):
+        """Tell whether a host was to move but did not get empty in time."""
+        return plan.wave is None and time.time() > plan.made_at + MOVE_PATIENCE_SECONDS
+
     async def _resize(self, placed):
         """Plan moves that match the pools to their demand."""
-        plans = self.sizes.plan_moves(self.daemon, self.hosts, boot_time())
+        standby = self.daemon.standby_pools()
+        if self.sizes.floor is None:
+            pools = self.daemon.operator.configuration.pools_in_use()
+            self.sizes.floor = pool_sizes.floor_of(self.hosts, pools, standby)
+        now = boot_time()
+        gaps = self._gaps()
+        self.sizes.note(gaps, now)
+        plans = self.sizes.plan_moves(
+            gaps, self.hosts, self.fold.pending(), placed, standby, now, time.time()
+        )
         self._log_plans(plans)
         await self._store([fleet_records.encode_record(plan) for plan in plans])
 
@@ -218,7 +248,7 @@
         if not runs:
             return True
         since = self.vacant_since.setdefault(plan.worker, boot_time())
-        if boot_time() < since + self._patience(plan):
+        if plan.wave is None or boot_time() < since + self._patience(plan):
             return False
         return not any(self.daemon.is_bounded(task_id) for task_id, _ in runs)
 
--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -27,8 +27,8 @@
 MS = 1000.0
 CORE = 1000
 MEGABYTE = 1 << 20
-ORDER_TIMEOUT_SECONDS = 0.6
-"""Bounds an order; some hundred times the usual answer, so a repeat is rare."""
+ORDER_TIMEOUT_SECONDS = 0.35
+"""Bounds an order; some fifty times the usual answer, and a repeat does no harm."""
 REFUSALS = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD_RUN,
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -31,6 +31,8 @@
 """Time to gather events that come together; under the time of one append."""
 STORE_PATIENCE_SECONDS = 3600.0
 """A controller waits for the store as long as it holds its pool."""
+STOP_SECONDS = 0.6
+"""Time after which a stop is ordered again; over the time that workers take for one."""
 FULL_PAUSE_SECONDS = 0.4
 """How long a worker that refused for want of room gets no start."""
 TASK_PAUSE_SECONDS = 0.5
@@ -174,6 +176,7 @@
             lambda worker: self.daemon.make_worker_client(worker, self.epoch),
             self.site.timing.longest_lease,
             self.wake,
+            self._is_startable,
         )
         for key in self.ledger.placed.get(entry.id, ()):
             link.expect(key)
@@ -181,11 +184,17 @@
         self.links[entry.id], self.scopes[entry.id] = link, scope
         task_group.start_soon(self._serve_link, link, scope)
 
+    def _is_startable(self, task_id):
+        """Tell whether a task that was placed is still to be started."""
+        state = self.ledger.active.get(task_id.job)
+        return state is not None and not state.is_over
+
     async def _serve_link(self, link, scope):
         with scope:
             async with anyio.create_task_group() as task_group:
                 task_group.start_soon(link.follow)
-                task_group.start_soon(link.send_orders)
+                for orderer in link.orderers:
+                    task_group.start_soon(link.send_orders, orderer)
         with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
             await link.close()
 
@@ -280,6 +289,8 @@
             return
         for worker_id in self.ledger.placed.keys() - self.links.keys():
             for task, run in list(self.ledger.placed[worker_id]):
+                if self.ledger.active[task.job].job.pool != self.pool:
+                    continue
                 job_ends.note_lost(draft, task, run)
                 logger.info("run freed", task=str(task), run=run, reason="no worker")
 
@@ -429,11 +440,11 @@
                     self._stop(worker_id, task_id, run, "unknown run")
 
     def _stop(self, worker_id, task_id, run, reason):
-        """Order a stop, once for each report of the worker."""
-        link = self.links.get(worker_id)
-        if link is None or link.stops.get((task_id, run)) == link.report_count:
+        """Order a stop, and again if the run is still listed a while later."""
+        link, now = self.links.get(worker_id), boot_time()
+        if link is None or now < link.stops.get((task_id, run), 0.0) + STOP_SECONDS:
             return
-        link.stops[task_id, run] = link.report_count
+        link.stops[task_id, run] = now
         link.order(StopOrder(task_id, run))
         logger.info(
             "stop ordered",
@@ -473,7 +484,8 @@
         rooms = self._rooms(JobDraft(self.ledger, self.pool), leaving | draining)
         listed = {}
         for link in self.links.values():
-            listed.update(link.listed)
+            kept = (key for key in link.listed if key not in link.stops)
+            listed.update((key, link.listed[key]) for key in kept)
         for task_id, run, worker in evacuation.runs_to_move(
             self.ledger, self.pool, leaving, draining, listed, rooms
         ):
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -125,6 +125,11 @@
             placed.update(stream.ledger.placed)
         return placed
 
+    def states_of(self, pool):
+        """Return the states of the jobs of a pool that have not ended."""
+        active = self.stream_of(pool).ledger.active
+        return [state for state in active.values() if state.job.pool == pool]
+
     def vacated(self, pool):
         """Return the workers that the controller of a pool keeps empty."""
         return self.stream_of(pool).ledger.vacated.get(pool, ())
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -1,7 +1,7 @@
 """Follow one worker of a pool: extend its lease, learn of ends, give it orders.
 
-A worker's calls run on two connections, each with a task of its own: one waits for
-ends, the other gives orders. An order without an answer may be carried out much
+A worker's calls run on a few connections, each with a task of its own: one waits for
+ends, the others give orders. An order without an answer may be carried out much
 later, so a start is repeated until it is answered, and a run that must not happen
 any more is stopped, which the worker remembers.
 """
@@ -26,6 +26,8 @@
 
 HOLD_WAIT_SECONDS = 1.0
 """How long a worker holds a call that waits for an end; bounds the lease's age."""
+ORDER_CONNECTIONS = 2
+"""Connections for orders, so that one without an answer does not hold up the rest."""
 RETRY_SECONDS = 0.15
 """Pause after a call that got no answer."""
 CLOCK_ERROR = 0.02
@@ -49,12 +51,13 @@
     further call. ``is_sure`` tells that the worker has answered under this epoch.
     """
 
-    def __init__(self, entry, make_client, lease, notify):
+    def __init__(self, entry, make_client, lease, notify, is_startable):
         self.entry = entry
         self.holder = make_client(entry)
-        self.orderer = make_client(entry)
+        self.orderers = [make_client(entry) for _ in range(ORDER_CONNECTIONS)]
         self.lease = lease
         self.notify = notify
+        self.is_startable = is_startable
         self.runs = {}
         self.listed = {}
         self.ends = {}
@@ -188,18 +191,20 @@
         self.orders.appendleft(StopOrder(task, run))
         self.order_arrivals.notify()
 
-    async def send_orders(self):
-        """Give the orders one after the other until the worker is gone."""
+    async def send_orders(self, orderer):
+        """Give orders over one connection until the worker is gone."""
         while not (self.is_gone or self.is_fenced):
             await self.order_arrivals.wait_until(lambda: bool(self.orders))
+            if not self.orders:
+                continue
             order = self.orders.popleft()
             match order:
                 case StartOrder():
-                    await self._start(order)
+                    await self._start(orderer, order)
                 case StopOrder():
-                    await self._insist(self.orderer.stop, order.task, order.run)
+                    await self._insist(orderer.stop, order.task, order.run)
                 case PaceOrder():
-                    await self._pace(order)
+                    await self._pace(orderer, order)
 
     async def _insist(self, call, *arguments):
         """Repeat a call until it is answered; return the refusal, or ``None``."""
@@ -217,26 +222,28 @@
                 return error
         return None
 
-    async def _pace(self, order):
+    async def _pace(self, orderer, order):
         """Pace a run once; the next look at its figures repeats what is needed."""
         try:
-            await self.orderer.pace(order.task, order.run, order.share)
+            await orderer.pace(order.task, order.run, order.share)
         except (WorkerSilentError, WorkerRefusedError) as error:
             logger.info("pace unanswered", worker=self.entry.id, reason=str(error))
         except WorkerGoneError as error:
             self._go(str(error))
 
-    async def _start(self, order):
+    async def _start(self, orderer, order):
         """Start a run; it is either surely there afterwards or surely never."""
         key, unsure, refusal = (order.task, order.run), False, None
         while key in self.runs and not (self.is_gone or self.is_fenced):
+            if not self.is_startable(order.task):
+                break
             self._note_lease()
             end = self.lease_end()
             if end is None:
                 await anyio.sleep(RETRY_SECONDS)
                 continue
             try:
-                await self.orderer.start(order, end)
+                await orderer.start(order, end)
                 self.runs[key] = boot_time()
                 return
             except WorkerSilentError as error:
@@ -246,12 +253,16 @@
                 self._go(str(error))
             except WorkerRefusedError as error:
                 refusal = error.reason
+                if refusal is Refusal.OLD_RUN and unsure:
+                    # It was carried out and has ended since: a report tells how.
+                    self.runs[key] = boot_time()
+                    return
                 if refusal is not Refusal.LEASE_OVER:
                     break
                 await anyio.sleep(RETRY_SECONDS)
-        await self._give_up(order, refusal, unsure)
+        await self._give_up(orderer, order, refusal, unsure)
 
-    async def _give_up(self, order, refusal, unsure):
+    async def _give_up(self, orderer, order, refusal, unsure):
         """Make sure that a refused start is not carried out late."""
         key = (order.task, order.run)
         if refusal is Refusal.FENCED:
@@ -259,8 +270,11 @@
         if refusal is Refusal.UNHEALTHY:
             self.paused_until = boot_time() + UNHEALTHY_PAUSE_SECONDS
         if unsure:
-            await self._insist(self.orderer.stop, order.task, order.run)
-        if key in self.runs and not (self.is_gone or self.is_fenced):
+            # Reports from now on tell whether it was carried out after all.
+            await self._insist(orderer.stop, order.task, order.run)
+            if key in self.runs:
+                self.runs[key] = boot_time()
+        elif key in self.runs and not (self.is_gone or self.is_fenced):
             self.not_started.append((key, refusal))
         self.notify()
 
@@ -271,4 +285,5 @@
     async def close(self):
         """Close the connections; may be called twice."""
         await self.holder.close()
-        await self.orderer.close()
+        for orderer in self.orderers:
+            await orderer.close()
