--- a/azurelanding/evacuation.py
+++ b/azurelanding/evacuation.py
@@ -7,17 +7,30 @@
 from azurelanding.job_placement import ReadyStep, pick_room
 from azurelanding.jobs import task_ids
 
+STEADY_SECONDS = 1.0
+"""How long a run is seen at work before it counts; over the time of a stop that an
+earlier controller may have ordered, and of a task's start-up."""
 
-def _is_at_work(task_id, task, listed):
-    runs = [listed.get((task_id, run)) for run in task.active]
-    return any(run is not None and run.at_work >= 1.0 for run in runs)
 
+def steady_runs(links, now):
+    """Return the runs that have been at work for a while and are not being stopped."""
+    return {
+        key
+        for link in links
+        for key, since in link.at_work_since.items()
+        if now >= since + STEADY_SECONDS and key not in link.stops
+    }
 
-def count_away(state, occurrence, number, listed):
-    """Return how many tasks of a step are not at work, as their workers list."""
+
+def _is_at_work(task_id, task, steady):
+    return any((task_id, run) in steady for run in task.active)
+
+
+def count_away(state, occurrence, number, steady):
+    """Return how many tasks of a step are not steadily at work."""
     step = state.job.steps[number]
     return sum(
-        not _is_at_work(task_id, state.task(task_id), listed)
+        not _is_at_work(task_id, state.task(task_id), steady)
         for task_id in task_ids(state.job.id, occurrence, number, step)
     )
 
@@ -32,12 +45,12 @@
                 yield state, task_id, run, worker
 
 
-def runs_to_move(ledger, pool, leaving, draining, listed, rooms):
+def runs_to_move(ledger, pool, leaving, draining, steady, rooms):
     """Yield the runs to stop now, as task, run and worker.
 
     Workers in ``leaving`` wait until they are empty, those in ``draining`` do not.
-    ``listed`` maps task and run to what the workers list of it, and ``rooms`` what
-    the other workers have left.
+    ``steady`` holds the runs that are surely at work, as task and run, and ``rooms``
+    what the other workers have left.
     """
     away = {}
     for _, task_id, run, worker in _long_running(ledger, pool, draining):
@@ -48,9 +61,9 @@
         step = state.job.steps[task_id.step]
         key = (task_id.job, task_id.occurrence, task_id.step)
         missing = away.get(key, 0)
-        missing += count_away(state, task_id.occurrence, task_id.step, listed)
-        is_at_work = _is_at_work(task_id, state.task(task_id), listed)
-        if step.may_miss and is_at_work and missing >= step.may_miss:
+        missing += count_away(state, task_id.occurrence, task_id.step, steady)
+        is_at_work = _is_at_work(task_id, state.task(task_id), steady)
+        if step.may_miss and missing - (not is_at_work) >= step.may_miss:
             continue
         ready = ReadyStep(state, task_id.occurrence, task_id.step, (task_id,))
         room = pick_room(ready, rooms.values(), ())
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -482,12 +482,9 @@
         if not (leaving | draining):
             return
         rooms = self._rooms(JobDraft(self.ledger, self.pool), leaving | draining)
-        listed = {}
-        for link in self.links.values():
-            kept = (key for key in link.listed if key not in link.stops)
-            listed.update((key, link.listed[key]) for key in kept)
+        steady = evacuation.steady_runs(self.links.values(), boot_time())
         for task_id, run, worker in evacuation.runs_to_move(
-            self.ledger, self.pool, leaving, draining, listed, rooms
+            self.ledger, self.pool, leaving, draining, steady, rooms
         ):
             self._stop(worker, task_id, run, "worker about to end")
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -45,7 +45,8 @@
 
     ``runs`` maps each run that may be there to the time from which the worker's
     reports count for it, ``None`` while its start is unanswered. ``listed`` holds
-    what the last report listed as under way, ``ends`` the ends not yet recorded by
+    what the last report listed as under way, ``at_work_since`` since when each of
+    those is seen at work, ``ends`` the ends not yet recorded by
     their number. ``not_started`` collects runs that surely never began and why.
     ``leased_until`` is the ``boot_time`` after which nothing runs there without a
     further call. ``is_sure`` tells that the worker has answered under this epoch.
@@ -60,6 +61,7 @@
         self.is_startable = is_startable
         self.runs = {}
         self.listed = {}
+        self.at_work_since = {}
         self.ends = {}
         self.seen = 0
         self.born = entry.born
@@ -158,6 +160,7 @@
         self.is_failing = False
         self.report_count += 1
         self.listed = {(run.task, run.run): run for run in report.runs}
+        self._note_work()
         fresh = [end for end in report.ends if end.number > self.seen]
         ended = {(end.task, end.run) for end in fresh}
         self.ends.update((end.number, end) for end in fresh)
@@ -169,6 +172,15 @@
         if fresh or self.lost or not was_sure:
             self.notify()
 
+    def _note_work(self):
+        """Note since when each run is seen at work without a break."""
+        known, now = self.at_work_since, boot_time()
+        self.at_work_since = {
+            key: known.get(key, now)
+            for key, run in self.listed.items()
+            if run.at_work >= 1.0
+        }
+
     def acknowledge(self, number):
         """Let the worker forget the ends up to ``number``, which are recorded."""
         self.seen = max(self.seen, number)
