--- /dev/null
+++ b/azurelanding/tests/platform_world.py
@@ -0,0 +1,142 @@
+"""Build small sites on models of the platform for tests."""
+
+import anyio
+
+from azurelanding.configuration import Configuration, Pool, Queue
+from azurelanding.fleet_workers import HostEntry, HostPhase
+from azurelanding.host_calls import HostBusyError
+from azurelanding.jobs import Job, Step
+from azurelanding.site import Site, StoreLimits, Timing
+from azurelanding.site_daemon import Peers, SiteDaemon
+from azurelanding.standins.platform_store import StoreModel
+from azurelanding.standins.platform_worker import WorkerFleet, WorkerModel
+from azurelanding.tasks import Need
+
+LEASE_SECONDS = 1.0
+
+
+def make_step(count=1, **fields):
+    """Return a step of small tasks."""
+    return Step(count, fields.pop("need", Need(1.0, 1 << 20, 0)), **fields)
+
+
+def make_job(job_id="0" * 16, steps=None, pool="cuts", **fields):
+    """Return a job of one small step."""
+    return Job(job_id, "q", pool, "spec", steps or (make_step(),), 1.0, **fields)
+
+
+def make_queue(pool="cuts", name="q"):
+    """Return a queue of ``pool``."""
+    return Queue(name, "host", f"/{name}/", pool, 3.0, max_attempts=2)
+
+
+class HostsModel:
+    """The platform's list of hosts, and its orders, for one standing holder."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.orders = []
+        self.pools = {}
+
+    async def list_hosts(self):
+        return {
+            f"host-{name}": HostEntry(
+                f"host-{name}",
+                self.pools.get(name, model.pool),
+                HostPhase.UP,
+                name,
+                model.room,
+            )
+            for name, model in self.fleet.models.items()
+        }
+
+    async def maintain(self, host, wave, epoch):
+        model = self.fleet.models[host.removeprefix("host-")]
+        if wave is None:
+            raise HostBusyError("no such wave")
+        self.orders.append((host, wave, epoch, len(model.running)))
+        model.restart()
+
+    async def move(self, host, pool, epoch):
+        self.orders.append((host, pool, epoch, 0))
+        self.pools[host.removeprefix("host-")] = pool
+
+    async def close(self):
+        pass
+
+
+class AdviceModel:
+    """An advice service that allows every worker."""
+
+    async def ask(self, job, occurrence, number, workers, advice):
+        """Return a ticket for each of ``workers``."""
+        return {worker: f"ticket-{worker}" for worker in workers}
+
+    async def close(self):
+        pass
+
+
+class World:
+    """A store, workers and daemons in one process."""
+
+    def __init__(self, partitions=4, lease=LEASE_SECONDS):
+        self.store = StoreModel(partitions)
+        self.fleet = WorkerFleet()
+        self.hosts = HostsModel(self.fleet)
+        limits = StoreLimits("127.0.0.1:1", partitions=partitions)
+        timing = Timing(longest_lease=lease, holder_pause=0.1, stop=0.1)
+        self.site = Site("e", "a", "", "", "", limits, timing=timing)
+        self.daemons = []
+
+    def add_worker(self, name, pool="cuts", **fields):
+        model = self.fleet.add(WorkerModel(name, pool, **fields))
+        self.store.put("workers", name, b"entry")
+        return model
+
+    def configure(self, *queues, pools=()):
+        names = {queue.pool for queue in queues} | set(pools)
+        self.configuration = Configuration(
+            1, queues, {name: Pool(name, standby=name == "off") for name in names}
+        )
+        self.store.put("operator", "config", b"configuration")
+
+    def _decode_worker(self, record):
+        return self.fleet.models[record.key].entry()
+
+    def _decode_operator(self, record):
+        return self.configuration if record.key == "config" else self.wave
+
+    def _peers(self):
+        return Peers(
+            make_store=self.store.client,
+            make_worker_client=self.fleet.client,
+            make_hosts=lambda holder: self.hosts,
+            make_advice=AdviceModel,
+            decode_operator=self._decode_operator,
+            decode_worker=self._decode_worker,
+            encode_wave=lambda number, done: (f"wave/{number}", str(done).encode()),
+            operator_topic="operator",
+            workers_topic="workers",
+            status_topic="status",
+        )
+
+    def daemon(self, name):
+        daemon = SiteDaemon(self.site, self._peers(), name)
+        self.daemons.append(daemon)
+        return daemon
+
+    async def run(self, scenario, daemons=1):
+        """Run ``scenario(self)`` beside a number of daemons."""
+        async with anyio.create_task_group() as task_group:
+            for number in range(daemons):
+                await self.daemon(f"d{number}").start(task_group)
+            with anyio.fail_after(20):
+                await scenario(self)
+            task_group.cancel_scope.cancel()
+
+
+async def until(condition, seconds=8.0):
+    """Wait until ``condition()`` is true; fail after ``seconds``."""
+    with anyio.fail_after(seconds):
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.01)
--- /dev/null
+++ b/azurelanding/tests/test_ledger.py
@@ -0,0 +1,77 @@
+"""Test the fold of a pool's stream."""
+
+import testtools
+
+from azurelanding.job_records import encode_record
+from azurelanding.jobs import JobOutcome, JobPhase, TaskId, TaskState
+from azurelanding.ledger import (
+    JobCancelled,
+    JobEnded,
+    JobSubmitted,
+    Ledger,
+    TaskChanged,
+    record_key,
+)
+from azurelanding.pool_stream import LedgerFold
+from azurelanding.store import StoredRecord
+from azurelanding.tests.platform_world import make_job, make_step
+
+JOB = make_job("a" * 16, (make_step(2),), max_attempts=2)
+FIRST = TaskId(JOB.id, 0, 0, 0)
+
+
+def fold(ledger, *records, start=0):
+    """Apply ``records`` at offsets from ``start`` on."""
+    for offset, record in enumerate(records, start):
+        ledger.apply(record_key(record), record, offset)
+    return ledger
+
+
+class LedgerTest(testtools.TestCase):
+    """The fold of records in any order."""
+
+    def test_repeated_submission_is_one_job(self):
+        running = TaskChanged(FIRST, TaskState(1, {1: "w"}))
+        ledger = fold(Ledger(), JobSubmitted(JOB), running, JobSubmitted(JOB))
+        self.assertEqual(JobPhase.RUNNING, ledger.jobs[JOB.id].phase)
+        self.assertEqual({(FIRST, 1): None}, ledger.placed["w"])
+
+    def test_older_record_changes_nothing(self):
+        ledger = fold(Ledger(), JobSubmitted(JOB))
+        done = TaskChanged(FIRST, TaskState(1, {}, is_done=True))
+        ledger.apply(record_key(done), done, 5)
+        placed = TaskChanged(FIRST, TaskState(1, {1: "w"}))
+        ledger.apply(record_key(placed), placed, 4)
+        self.assertTrue(ledger.jobs[JOB.id].task(FIRST).is_done)
+        self.assertEqual({}, ledger.placed)
+
+    def test_submission_repeated_after_the_end_does_not_revive_on_load(self):
+        ended = JobEnded(JOB.id, JobOutcome.COMPLETED, 2.0)
+        stored = [
+            StoredRecord(*encode_record(ended), 3),
+            StoredRecord(*encode_record(JobSubmitted(JOB)), 7),
+        ]
+        load = LedgerFold(Ledger())
+        for record in sorted(stored, key=load.load_order):
+            load.apply_stored(record)
+        self.assertEqual({}, load.ledger.active)
+        self.assertEqual(JobPhase.COMPLETED, load.ledger.jobs[JOB.id].phase)
+
+    def test_task_without_attempts_left_fails_the_job(self):
+        failed = TaskChanged(FIRST, TaskState(2, {}, failures=2))
+        ledger = fold(Ledger(), JobSubmitted(JOB), failed)
+        self.assertEqual(JobPhase.FAILED, ledger.jobs[JOB.id].phase)
+
+    def test_pending_counts_jobs_without_a_start(self):
+        other = make_job("b" * 16)
+        ledger = fold(Ledger(), JobSubmitted(JOB), JobSubmitted(other))
+        self.assertEqual(2, ledger.pending("q"))
+        fold(ledger, JobCancelled(other.id, 3.0), start=2)
+        self.assertEqual(1, ledger.pending("q"))
+
+    def test_unreadable_record_hurts_nothing_else(self):
+        load = LedgerFold(Ledger())
+        load.apply_stored(StoredRecord("job/x", b"\xff{", 0))
+        load.apply_stored(StoredRecord("surprise", b"{}", 1))
+        load.apply_stored(StoredRecord(*encode_record(JobSubmitted(JOB)), 2))
+        self.assertEqual([JOB.id], list(load.ledger.jobs))
