--- a/azurelanding/job_placement.py
+++ b/azurelanding/job_placement.py
@@ -1,10 +1,12 @@
 """Decide which ready tasks start on which workers.
 
-Jobs are taken by priority, then by the time at which they become late; those that can
-no longer be in time come after those that can. A task goes to the fullest worker that
+Jobs are taken by priority, then by what a start can still bring for them, then by the
+time at which they become late. A task goes to the fullest worker that
 has room for it, so that large tasks keep finding room.
 """
 
+import enum
+
 import attrs
 
 from azurelanding.jobs import longest_chain, task_ids
@@ -120,15 +122,37 @@
     return job.due_at(occurrence) + objective
 
 
+class Prospect(enum.IntEnum):
+    """What a start now can still bring for a job; the order in which jobs go."""
+
+    LONG_RUNNING = 0
+    IN_TIME = 1
+    LATE = 2
+    WORTHLESS = 3
+
+
+def prospect(ready, now):
+    """Return the ``Prospect`` of an occurrence whose ready steps start at ``now``."""
+    state, occurrence = ready.state, ready.occurrence
+    job = state.job
+    if job.is_long_running:
+        return Prospect.LONG_RUNNING
+    due_at, late_at = job.due_at(occurrence), deadline(job, occurrence)
+    remaining = longest_chain(job, lambda n: state.step_is_done(occurrence, n))
+    if now + remaining <= late_at:
+        return Prospect.IN_TIME
+    if now + remaining <= due_at + LATE_FACTOR * (late_at - due_at):
+        return Prospect.LATE
+    return Prospect.WORTHLESS
+
+
 def urgency(ready, now):
     """Return the place of a ready step in the line."""
-    job = ready.state.job
-    if job.is_long_running:
-        return job.priority, 0, job.submitted_at, ready.number
+    job, chance = ready.state.job, prospect(ready, now)
+    if chance is Prospect.LONG_RUNNING:
+        return job.priority, chance, job.submitted_at, ready.number
     late_at = deadline(job, ready.occurrence)
-    objective = late_at - job.due_at(ready.occurrence)
-    is_worthless = now > job.due_at(ready.occurrence) + LATE_FACTOR * objective
-    return job.priority, 1 + is_worthless, late_at, ready.number
+    return job.priority, chance, late_at, ready.number
 
 
 def _suits(ready, room, avoided):
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -221,10 +221,13 @@
         yield TaskId(job_id, occurrence, number, index)
 
 
-def longest_chain(job):
-    """Return the caller's estimate of the longest chain of steps, in seconds."""
+def longest_chain(job, is_done=lambda number: False):
+    """Return the caller's estimate of the longest chain of steps, in seconds.
+
+    Steps for which ``is_done(number)`` is true take no more time.
+    """
     ends = []
-    for step in job.steps:
+    for number, step in enumerate(job.steps):
         begin = max((ends[earlier] for earlier in step.after), default=0.0)
-        ends.append(begin + step.estimate)
+        ends.append(begin + (0.0 if is_done(number) else step.estimate))
     return max(ends, default=0.0)
