--- /dev/null
+++ b/azurelanding/tests/test_platform_calls.py
@@ -0,0 +1,156 @@
+"""Test the adapter over real sockets, against the stand-in of the store."""
+
+import anyio
+import msgspec
+import testtools
+
+from azurelanding.http_client import HttpClient
+from azurelanding.http_server import HttpServer
+from azurelanding.job_service import Acceptance, StateUnknownError
+from azurelanding.jobs import JobPhase
+from azurelanding.platform import callers
+from azurelanding.platform.main import CallerLimits
+from azurelanding.platform.store import StoreClient
+from azurelanding.site import StoreLimits
+from azurelanding.standins.platform_store import StoreModel
+from azurelanding.store import (
+    HistoryLostError,
+    Producer,
+    StoreFencedError,
+    StoreRefusedError,
+    StoreSequenceError,
+)
+from azurelanding.tests.platform_world import make_queue
+
+QUEUE = make_queue()
+JOB_ID = "0123456789abcdef"
+BODY = msgspec.json.encode({"spec": "s", "steps": [{"count": 1}]})
+
+
+def serve(app, scenario):
+    """Run ``scenario(address)`` beside a server of ``app``."""
+
+    async def main():
+        server = HttpServer.from_config("127.0.0.1:0", app, http="httptools")
+        async with anyio.create_task_group() as task_group:
+            server.start(task_group)
+            with anyio.fail_after(10):
+                await scenario(server.address)
+            await server.close()
+
+    anyio.run(main)
+
+
+class StoreClientTest(testtools.TestCase):
+    """The store's calls, as the stand-in answers them."""
+
+    def test_store_speaks_as_its_pages_say(self):
+        model, producer = StoreModel(), Producer("p", 2)
+
+        async def scenario(address):
+            client = StoreClient.from_config(StoreLimits(address))
+            rows = [("a", b"1"), ("b", b"2"), ("a", None)]
+            self.assertEqual(0, await client.append("jobs", 1, rows, producer, 1))
+            self.assertEqual(0, await client.append("jobs", 1, rows, producer, 1))
+            found = await client.read("jobs", 1, 1)
+            self.assertEqual(["b", "a"], [record.key for record in found.records])
+            newest = await client.newest("jobs", 1)
+            self.assertEqual([b"2"], [record.value for record in newest.records])
+            with testtools.ExpectedException(StoreSequenceError):
+                await client.append("jobs", 1, rows, producer, 5)
+            with testtools.ExpectedException(StoreFencedError):
+                await client.append("jobs", 1, rows, Producer("p", 1), 2)
+            model.forget_history()
+            with testtools.ExpectedException(HistoryLostError):
+                await client.read("jobs", 1, 0)
+            given = await client.join("g", "m", ("jobs",), 0, 5.0)
+            self.assertIn(("jobs", 1), given.partitions)
+            model.knobs.refuse = True
+            with testtools.ExpectedException(StoreRefusedError):
+                await client.read("jobs", 1, 3)
+            await client.close()
+
+        serve(model.app, scenario)
+
+
+class FakeService:
+    """Answers as it is told."""
+
+    acceptance = Acceptance.ACCEPTED
+    known = JobPhase.RUNNING
+
+    async def submit(self, job, patience):
+        return self.acceptance
+
+    async def cancel(self, queue, job_id, patience):
+        return self.acceptance
+
+    async def phase(self, queue, job_id):
+        if self.known == "unknown":
+            raise StateUnknownError("the store is down")
+        return self.known
+
+    def pending(self, queue):
+        return 12
+
+
+class CallersTest(testtools.TestCase):
+    """What clients are answered."""
+
+    def setUp(self):
+        super().setUp()
+        self.service = FakeService()
+        self.has_configuration = True
+
+    def find_queue(self, host, path):
+        """Return the one queue for its prefix."""
+        if not self.has_configuration:
+            raise LookupError("none yet")
+        return QUEUE if path.startswith(QUEUE.path_prefix) else None
+
+    def ask(self, method, path, body=b""):
+        """Return the status and the headers of an answer."""
+        answers = []
+
+        async def scenario(address):
+            client = HttpClient(address, 5.0)
+            response = await client.send(method, path, body)
+            answers.append((response.status, dict(response.headers), response.content))
+            await client.close()
+
+        app = callers.make_app(self.service, self.find_queue, CallerLimits())
+        serve(app, scenario)
+        return answers[0]
+
+    def test_each_outcome_has_its_status(self):
+        statuses = {
+            Acceptance.ACCEPTED: 200,
+            Acceptance.REFUSED: 503,
+            Acceptance.UNKNOWN: 504,
+        }
+        for self.service.acceptance, status in statuses.items():
+            found, headers, _ = self.ask("POST", f"/q/{JOB_ID}", BODY)
+            self.assertEqual(status, found)
+            self.assertEqual(status == 503, b"retry-after" in headers)
+
+    def test_unknown_state_is_no_missing_job(self):
+        self.service.known = "unknown"
+        self.assertEqual(503, self.ask("GET", f"/q/{JOB_ID}")[0])
+        self.service.known = None
+        self.assertEqual(410, self.ask("GET", f"/q/{JOB_ID}")[0])
+
+    def test_state_and_pending_are_told(self):
+        _, _, body = self.ask("GET", f"/q/{JOB_ID}")
+        self.assertEqual({"state": "running"}, msgspec.json.decode(body))
+        _, _, body = self.ask("GET", "/q/")
+        self.assertEqual({"pending": 12}, msgspec.json.decode(body))
+
+    def test_unknown_queue_is_not_found(self):
+        self.assertEqual(404, self.ask("POST", f"/other/{JOB_ID}", BODY)[0])
+
+    def test_before_the_first_configuration_nothing_is_taken(self):
+        self.has_configuration = False
+        self.assertEqual(503, self.ask("POST", f"/q/{JOB_ID}", BODY)[0])
+
+    def test_unreadable_job_is_a_bad_request(self):
+        self.assertEqual(400, self.ask("POST", f"/q/{JOB_ID}", b"{")[0])
--- /dev/null
+++ b/azurelanding/tests/test_platform_wire.py
@@ -0,0 +1,190 @@
+"""Test what the adapter reads from and writes to the platform."""
+
+import msgspec
+import testtools
+
+from azurelanding.fleet_workers import HostPhase, WorkerPhase
+from azurelanding.jobs import RunEnd, TaskId
+from azurelanding.platform import callers, hosts, operator, settings, store, workers
+from azurelanding.settings import SettingsError
+from azurelanding.tests.platform_world import make_queue
+
+ENTRY = {
+    "service": "cuts",
+    "address": "127.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "machine": "m-1",
+    "born": 17,
+    "capacity": {"cpu": 16000, "memMb": 2, "gpus": 1},
+    "labels": ["a", "r1-3"],
+}
+BOOT = {
+    "nodeName": "edge-a-1",
+    "zone": "a",
+    "ip": "127.0.0.1",
+    "listen": {"frontend": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+    "platform": {"address": "127.0.0.1:3", "parts": 16, "ttlMinMs": 1000},
+    "bounds": {"maxHoldMs": 6000, "graceS": 6, "remoteFactor": 1.5},
+    "cloudApi": {"address": "127.0.0.1:4"},
+    "new": {"field": 1},
+}
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "pathPrefix": "/p/",
+    "service": "cuts",
+    "timeoutMs": 3000,
+    "maxAttempts": 2,
+}
+
+
+def encode(values, **changes):
+    """Return ``values`` with ``changes`` as JSON."""
+    return msgspec.json.encode({**values, **changes})
+
+
+class SettingsTest(testtools.TestCase):
+    """The platform's settings file."""
+
+    def test_units_are_seconds(self):
+        site = settings.decode_settings(encode(BOOT))
+        self.assertEqual(6.0, site.timing.longest_lease)
+        self.assertEqual(6.0, site.timing.grace)
+        self.assertEqual(1.5, site.remote_factor)
+        self.assertEqual(1.0, site.store.shortest_membership)
+
+    def test_what_is_missing_or_mistyped_is_refused(self):
+        broken = [b"", b"[]", b"{", encode(BOOT, listen=None), encode({"zone": "a"})]
+        for text in broken:
+            with testtools.ExpectedException(SettingsError):
+                settings.decode_settings(text)
+
+
+class WorkersTest(testtools.TestCase):
+    """Entries and reports of workers."""
+
+    def test_entry_is_decoded(self):
+        entry = workers.decode_entry("i-1", encode(ENTRY))
+        self.assertEqual(16.0, entry.room.cores)
+        self.assertEqual(2 << 20, entry.room.memory)
+        self.assertEqual(WorkerPhase.READY, entry.phase)
+        self.assertEqual("m-1", entry.host)
+
+    def test_entry_of_another_writer_names_no_worker(self):
+        broken = [
+            b"\xff\x00",
+            b"[]",
+            b"7",
+            encode(ENTRY, state="asleep"),
+            encode(ENTRY, capacity=None),
+            encode(ENTRY, capacity={"cpu": "many"}),
+            encode({"service": "cuts"}),
+        ]
+        for value in broken:
+            self.assertIsNone(workers.decode_entry("i-1", value), value)
+
+    def test_report_is_decoded(self):
+        values = {
+            "clockMs": 5000,
+            "born": 17,
+            "running": [["0123456789abcdef.0.1.7", 2, "", 40, 1200]],
+            "finished": [[58, "0123456789abcdef.0.1.9", 1, "done", "cp"]],
+        }
+        report = workers.decode_report(msgspec.json.encode(values))
+        self.assertEqual(5.0, report.clock)
+        (run,), (end,) = report.runs, report.ends
+        self.assertEqual(TaskId("0123456789abcdef", 0, 1, 7), run.task)
+        self.assertEqual((0.4, 1200), (run.at_work, run.figure))
+        self.assertEqual((58, RunEnd.DONE, "cp"), (end.number, end.end, end.checkpoint))
+
+
+class HostsTest(testtools.TestCase):
+    """Rows of the list of hosts."""
+
+    def test_row_is_decoded(self):
+        row = {"machine": "m", "pool": "p", "state": "upkeep", "id": None}
+        host = hosts.decode_host(row)
+        self.assertEqual((HostPhase.MAINTENANCE, ""), (host.phase, host.worker))
+
+    def test_unreadable_row_is_left_out(self):
+        self.assertIsNone(hosts.decode_host({"machine": "m", "pool": "p"}))
+        self.assertIsNone(hosts.decode_host(None))
+
+
+class OperatorTest(testtools.TestCase):
+    """The operator's records."""
+
+    def test_configuration_is_decoded(self):
+        value = {
+            "version": 7,
+            "routes": [{**ROUTE, "advice": {"decisionMs": 50, "periodMs": 5}}],
+            "services": [{"name": "cuts"}, {"name": "off", "standby": True}],
+            "limits": {"maxBodyBytes": 10},
+        }
+        found = operator.decode_configuration(msgspec.json.encode(value))
+        queue = found.find_queue("h.example", "/p/0123456789abcdef")
+        self.assertEqual((3.0, 2), (queue.timeout, queue.max_attempts))
+        self.assertEqual(0.05, queue.advice.decision)
+        self.assertIsNone(found.find_queue("other.example", "/p/x"))
+        self.assertTrue(found.pools["off"].standby)
+
+    def test_longest_prefix_wins(self):
+        routes = [ROUTE, {**ROUTE, "name": "s", "pathPrefix": "/p/q/"}]
+        value = {"version": 1, "routes": routes, "services": []}
+        found = operator.decode_configuration(msgspec.json.encode(value))
+        self.assertEqual("s", found.find_queue("h.example", "/p/q/1").name)
+
+    def test_unreadable_records_change_nothing(self):
+        self.assertIsNone(operator.decode_configuration(b"{}"))
+        self.assertIsNone(operator.decode_wave("wave/1", b'{"wave": 1}'))
+
+
+class StoreRecordsTest(testtools.TestCase):
+    """The raw records of the store."""
+
+    def test_read_skips_what_is_expired(self):
+        head = store.READ_HEAD.pack(9, 7)
+        body = store.encode_keyed("k", b"v") + store.encode_keyed("l", None)
+        found = store.decode_records(head + body, 3)
+        self.assertEqual(9, found.end)
+        triples = [(r.key, r.value, r.offset) for r in found.records]
+        self.assertEqual([("k", b"v", 7), ("l", None, 8)], triples)
+
+
+class SubmissionTest(testtools.TestCase):
+    """The jobs that clients hand in."""
+
+    def test_job_is_decoded(self):
+        step = {"count": 2, "cpu": 500, "memMb": 1, "estimatedMs": 900, "mayMiss": 1}
+        later = {"count": 1, "after": [0], "targetMs": 80, "longRunning": True}
+        body = msgspec.json.encode({"spec": "s", "steps": [step, later]})
+        job = callers.decode_job("a" * 16, make_queue(), body, 5.0)
+        self.assertEqual((0.5, 0.9), (job.steps[0].need.cores, job.steps[0].estimate))
+        self.assertEqual(((0,), 0.08), (job.steps[1].after, job.steps[1].tail_target))
+        self.assertEqual((1, 5.0), (job.occurrences, job.due_at(0)))
+
+    def test_occurrences_are_due_in_time(self):
+        body = msgspec.json.encode(
+            {
+                "spec": "s",
+                "steps": [{"count": 1}],
+                "repeatCount": 3,
+                "startAtMs": 9000,
+                "intervalMs": 500,
+            }
+        )
+        job = callers.decode_job("a" * 16, make_queue(), body, 5.0)
+        self.assertEqual([9.0, 9.5, 10.0], [job.due_at(k) for k in range(3)])
+
+    def test_unreadable_job_is_refused(self):
+        bodies = [
+            b"",
+            b"[]",
+            b'{"spec": "s"}',
+            b'{"spec": "s", "steps": [{}]}',
+            b'{"spec": "s", "steps": [{"count": 1, "after": [0]}]}',
+        ]
+        for body in bodies:
+            with testtools.ExpectedException(callers.JobFormatError):
+                callers.decode_job("a" * 16, make_queue(), body, 5.0)
