--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -122,7 +122,7 @@
 
 def main():
     """Run the daemon until it is told to stop."""
-    log.configure("info", sys.stdout)
+    log.configure("info", log.BoundedOutput(sys.stdout.fileno()))
     try:
         site = settings.read_settings()
     except SettingsError as error:
--- /dev/null
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -0,0 +1,204 @@
+"""Test which hosts and tasks are moved, and which fills are slowed down."""
+
+import testtools
+
+from azurelanding import evacuation, host_choice, leveling, pool_sizes
+from azurelanding.configuration import Wave
+from azurelanding.fleet_records import HostPlan, WaveProgress
+from azurelanding.fleet_workers import HostEntry, HostPhase
+from azurelanding.jobs import JobState, TaskId, TaskState
+from azurelanding.ledger import JobSubmitted, Ledger, TaskChanged, record_key
+from azurelanding.standins.platform_worker import WorkerModel
+from azurelanding.tasks import Need
+from azurelanding.tests.platform_world import make_job, make_step
+from azurelanding.tests.test_job_placement import make_room
+from azurelanding.utils import boot_time
+from azurelanding.worker_calls import ListedRun
+from azurelanding.worker_link import WorkerLink
+
+ROOM = Need(8.0, 1 << 34, 0)
+
+
+def make_hosts(pools):
+    """Return hosts from a number for each pool."""
+    return {
+        f"{pool}{number}": HostEntry(
+            f"{pool}{number}", pool, HostPhase.UP, f"w-{pool}{number}", ROOM
+        )
+        for pool, count in pools.items()
+        for number in range(count)
+    }
+
+
+def make_ledger(job, workers):
+    """Return a ledger in which the tasks of ``job`` run on ``workers``."""
+    ledger = Ledger()
+    records = [JobSubmitted(job)]
+    for index, worker in enumerate(workers):
+        state = TaskState(1, {1: worker} if worker else {})
+        records.append(TaskChanged(TaskId(job.id, 0, 0, index), state))
+    for offset, record in enumerate(records):
+        ledger.apply(record_key(record), record, offset)
+    return ledger
+
+
+class EvacuationTest(testtools.TestCase):
+    """Long-running tasks that leave a worker."""
+
+    def move(self, workers, away=(), draining=()):
+        """Return the tasks that leave worker ``v``; those in ``away`` do not work."""
+        count = len(workers)
+        job = make_job(steps=(make_step(count, long_running=True, may_miss=1),))
+        ledger = make_ledger(job, workers)
+        steady = {
+            (TaskId(job.id, 0, 0, index), 1)
+            for index in range(count)
+            if index not in away
+        }
+        moved = evacuation.runs_to_move(
+            ledger, "cuts", {"v"}, set(draining), steady, {"w": make_room("w")}
+        )
+        return [task.index for task, _, _ in moved]
+
+    def test_no_more_leave_than_may_be_away(self):
+        self.assertEqual(1, len(self.move(["v", "v", "v"])))
+
+    def test_none_leaves_while_another_is_away(self):
+        self.assertEqual([], self.move(["v", "v", "w"], away=[2]))
+
+    def test_one_that_is_away_itself_may_leave(self):
+        self.assertEqual([0], self.move(["v", "v", "w"], away=[0]))
+
+    def test_draining_worker_does_not_wait(self):
+        self.assertEqual([0, 1], sorted(self.move(["v", "v"], draining=["v"])))
+
+    def test_run_counts_as_at_work_only_after_a_while(self):
+        link = WorkerLink(
+            WorkerModel("v", "cuts").entry(), lambda e: None, 6, None, None
+        )
+        key, now = (TaskId("a", 0, 0, 0), 1), boot_time()
+        link.at_work_since = {key: now}
+        self.assertEqual(set(), evacuation.steady_runs([link], now + 0.5))
+        self.assertEqual({key}, evacuation.steady_runs([link], now + 1.5))
+        link.stops[key] = now
+        self.assertEqual(set(), evacuation.steady_runs([link], now + 1.5))
+
+
+class WaveChoiceTest(testtools.TestCase):
+    """Hosts that are emptied for their maintenance."""
+
+    def plan(self, wave, hosts, plans=None, progress=None, placed=None):
+        """Return the names of the hosts that are planned."""
+        progress = progress or WaveProgress(wave.number)
+        found = host_choice.plan_wave(
+            wave, progress, hosts, plans or {}, placed or {}, {"off"}, 5.0
+        )
+        return [plan.host for plan in found]
+
+    def test_no_more_than_may_be_away_at_once(self):
+        hosts = make_hosts({"a": 4, "b": 4, "c": 4})
+        wave = Wave(1, tuple(hosts), 30.0, 2)
+        self.assertEqual(2, len(self.plan(wave, hosts)))
+        plans = {"a0": HostPlan("a0", "w-a0", 1.0, wave=1)}
+        self.assertEqual(1, len(self.plan(wave, hosts, plans)))
+
+    def test_a_pool_keeps_most_of_its_hosts(self):
+        hosts = make_hosts({"a": 6})
+        wave = Wave(1, tuple(hosts), 30.0, 6)
+        self.assertEqual(2, len(self.plan(wave, hosts)))
+
+    def test_hosts_that_are_off_go_together(self):
+        hosts = make_hosts({"off": 4})
+        wave = Wave(1, tuple(hosts), 30.0, 4)
+        self.assertEqual(4, len(self.plan(wave, hosts)))
+
+    def test_least_loaded_host_goes_first(self):
+        hosts = make_hosts({"a": 3})
+        wave = Wave(1, tuple(hosts), 30.0, 1)
+        placed = {"w-a0": {1, 2}, "w-a1": {1}, "w-a2": {1, 2, 3}}
+        self.assertEqual(["a1"], self.plan(wave, hosts, placed=placed))
+
+    def test_begun_hosts_are_not_planned_again(self):
+        hosts = make_hosts({"a": 2})
+        wave = Wave(1, ("a0", "a1"), 30.0, 2)
+        progress = WaveProgress(1, ("a0",))
+        self.assertEqual(["a1"], self.plan(wave, hosts, progress=progress))
+
+
+class PoolSizesTest(testtools.TestCase):
+    """Hosts that move between pools."""
+
+    def setUp(self):
+        super().setUp()
+        self.sizes = pool_sizes.PoolSizes()
+        self.sizes.floor = 1
+
+    def moves(self, wanted_cores, hosts, now=0.0, plans=None):
+        """Return pairs of host and pool; pools want ``wanted_cores``."""
+        steps = {
+            pool: (make_step(1, need=Need(cores, 1, 0)),)
+            for pool, cores in wanted_cores.items()
+        }
+        jobs = {p: [JobState(make_job(steps=steps[p], pool=p))] for p in steps}
+        plans = plans or {}
+        gaps = self.sizes.gaps(jobs.__getitem__, steps, hosts, plans, 5.0)
+        self.sizes.note(gaps, now)
+        found = self.sizes.plan_moves(gaps, hosts, plans, {}, {"off"}, now, 5.0)
+        return sorted((plan.host, plan.pool) for plan in found)
+
+    def test_backlog_brings_hosts_from_standby(self):
+        hosts = make_hosts({"a": 1, "off": 3})
+        moves = self.moves({"a": 20.0}, hosts)
+        self.assertEqual(["a", "a"], [pool for _, pool in moves])
+
+    def test_host_under_way_counts(self):
+        hosts = make_hosts({"a": 1, "off": 3})
+        plans = {"off0": HostPlan("off0", "w-off0", 1.0, pool="a")}
+        self.assertEqual(1, len(self.moves({"a": 20.0}, hosts, plans=plans)))
+
+    def test_surplus_is_given_back_only_after_a_while(self):
+        hosts = make_hosts({"a": 3, "off": 1})
+        self.assertEqual([], self.moves({"a": 1.0}, hosts, now=10.0))
+        moves = self.moves({"a": 1.0}, hosts, now=13.0)
+        self.assertEqual(["off", "off"], [pool for _, pool in moves])
+
+    def test_surplus_goes_to_a_pool_in_need_at_once(self):
+        hosts = make_hosts({"a": 3, "b": 1})
+        moves = self.moves({"a": 1.0, "b": 20.0}, hosts)
+        self.assertEqual(["b", "b"], [pool for _, pool in moves])
+
+    def test_step_that_must_be_spread_keeps_its_workers(self):
+        step = make_step(5, per_worker=2, long_running=True)
+        states = [JobState(make_job(steps=(step,)))]
+        self.assertEqual(3, pool_sizes.hosts_wanted(states, 5.0, 100.0, 1))
+
+
+class LevelsTest(testtools.TestCase):
+    """Filling tasks beside tasks with a target."""
+
+    def test_fills_are_slowed_down_and_sped_up_again(self):
+        steps = (
+            make_step(1, long_running=True, tail_target=0.1),
+            make_step(1, fills=True),
+        )
+        job = make_job(steps=steps)
+        ledger = make_ledger(job, ["v"])
+        serving, filling = TaskId(job.id, 0, 0, 0), TaskId(job.id, 0, 1, 0)
+        link = WorkerLink(
+            WorkerModel("v", "cuts").entry(), lambda e: None, 6, None, None
+        )
+        levels = leveling.Levels(4.0)
+
+        def look(tail):
+            link.report_count += 1
+            link.listed = {
+                (serving, 1): ListedRun(serving, 1, "", 1.0, tail),
+                (filling, 1): ListedRun(filling, 1, "", 1.0, 500),
+            }
+            levels.levels.get("v", leveling.Level()).changed_at = 0.0
+            return [order.share for order in levels.orders(link, ledger)]
+
+        self.assertEqual([0.5], look(150))
+        self.assertEqual([0.25], look(150))
+        self.assertEqual([], look(90))
+        self.assertEqual([0.35], look(50))
