Count reports that are overdue as not at work; bring hosts only for jobs in time

A run that takes three times its estimate and a second is stopped and run elsewhere. Streams are read less often.

--- a/azurelanding/evacuation.py
+++ b/azurelanding/evacuation.py
@@ -13,10 +13,14 @@
 
 
 def steady_runs(links, now):
-    """Return the runs that have been at work for a while and are not being stopped."""
+    """Return the runs that have been at work for a while and are not being stopped.
+
+    What a worker listed counts only as long as its next report is not overdue.
+    """
     return {
         key
         for link in links
+        if not link.is_overdue(now)
         for key, since in link.at_work_since.items()
         if now >= since + STEADY_SECONDS and key not in link.stops
     }
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -220,6 +220,7 @@
         for worker_id, order in starts:
             self.links[worker_id].order(order)
         self._stop_unwanted()
+        self._stop_stuck()
         self._evacuate()
         self._level()
 
@@ -439,6 +440,18 @@
                 if (task_id, run) not in placed and (task_id, run) not in link.runs:
                     self._stop(worker_id, task_id, run, "unknown run")
 
+    def _stop_stuck(self):
+        """Stop runs that take far longer than they should, to run elsewhere."""
+        now = boot_time()
+        for worker_id, link in self.links.items():
+            for (task_id, run), since in list(link.runs.items()):
+                state = self.ledger.active.get(task_id.job)
+                if since is None or state is None or (task_id, run) in link.stops:
+                    continue
+                if now > since + job_ends.longest_run(state, task_id):
+                    self.healths.note_failed(worker_id, task_id.job, now)
+                    self._stop(worker_id, task_id, run, "stands still")
+
     def _stop(self, worker_id, task_id, run, reason):
         """Order a stop, and again if the run is still listed a while later."""
         link, now = self.links.get(worker_id), boot_time()
--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -9,13 +9,15 @@
 
 from azurelanding.fleet_records import HostPlan
 from azurelanding.fleet_workers import HostPhase
-from azurelanding.job_placement import ready_steps
+from azurelanding.job_placement import Prospect, prospect, ready_steps
 
 FLOOR_SHARE = 0.5
 """Part of the hosts of an even share that a pool in use keeps: they carry the first
 second of a surge, until hosts from standby have come."""
 FULL_SHARE = 0.9
 """Part of a host's cores that is counted on; tasks rarely fill a host whole."""
+WORTH_HOSTS = (Prospect.LONG_RUNNING, Prospect.IN_TIME)
+"""What hosts are brought for; jobs that are late anyway run in the room there is."""
 SURPLUS_SECONDS = 2.5
 """How long a pool has more than it wants before it gives a host back."""
 
@@ -25,7 +27,10 @@
 
 
 def demand(states, now):
-    """Return the cores that jobs want now, and the most workers a step asks for."""
+    """Return the cores that jobs want now, and the most workers a step asks for.
+
+    Jobs that can no longer be in time want none beyond those that they use.
+    """
     cores, spread = 0.0, 0
     for state in states:
         if state.is_over:
@@ -35,7 +40,7 @@
             if task.active and not step.fills:
                 cores += step.need.cores
         for ready in ready_steps(state, now, _never_rests):
-            if not ready.step.fills:
+            if not ready.step.fills and prospect(ready, now) in WORTH_HOSTS:
                 cores += ready.step.need.cores * len(ready.tasks)
         for step in state.job.steps:
             if step.per_worker and step.long_running:
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -26,8 +26,11 @@
 """Rest between reads of the workers' entries, which change with each heartbeat."""
 WATCH_PAUSE_SECONDS = 0.8
 """Rest between reads of a pool's stream that this daemon does not control."""
-CONTROL_PAUSE_SECONDS = 0.005
+CONTROL_PAUSE_SECONDS = 0.02
 """Rest between reads of a stream that it controls: gathers what comes together."""
+DUTY_PAUSE_SECONDS = 0.15
+"""Rest between reads of a stream in which the holder of the fleet duty looks for
+demand; well under the time of a move."""
 READY_SECONDS = 2.5
 """Age of the last answer of the store after which the daemon is not ready."""
 
@@ -110,9 +113,11 @@
         return stream
 
     def _stream_pause(self, partition):
-        held = self.member.epoch_of(TOPIC, partition) is not None
-        fleet = self.member.epoch_of(FLEET_TOPIC, 0) is not None
-        return CONTROL_PAUSE_SECONDS if held or fleet else WATCH_PAUSE_SECONDS
+        if self.member.epoch_of(TOPIC, partition) is not None:
+            return CONTROL_PAUSE_SECONDS
+        if self.member.epoch_of(FLEET_TOPIC, 0) is not None:
+            return DUTY_PAUSE_SECONDS
+        return WATCH_PAUSE_SECONDS
 
     def cordoned(self):
         """Return the workers that are to be emptied."""
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -77,12 +77,21 @@
             WorkerModel("v", "cuts").entry(), lambda e: None, 6, None, None
         )
         key, now = (TaskId("a", 0, 0, 0), 1), boot_time()
-        link.at_work_since = {key: now}
+        link.at_work_since, link.heard_at = {key: now}, now + 1.0
         self.assertEqual(set(), evacuation.steady_runs([link], now + 0.5))
         self.assertEqual({key}, evacuation.steady_runs([link], now + 1.5))
         link.stops[key] = now
         self.assertEqual(set(), evacuation.steady_runs([link], now + 1.5))
 
+    def test_run_on_a_worker_whose_report_is_overdue_is_not_at_work(self):
+        entry = WorkerModel("v", "cuts").entry()
+        link = WorkerLink(entry, lambda e: None, 6, None, None)
+        key, now = (TaskId("a", 0, 0, 0), 1), boot_time()
+        link.at_work_since, link.heard_at = {key: now}, now
+        self.assertEqual(set(), evacuation.steady_runs([link], now + 2.0))
+        link.heard_at, link.is_failing = now + 2.0, True
+        self.assertEqual(set(), evacuation.steady_runs([link], now + 2.0))
+
 
 class WaveChoiceTest(testtools.TestCase):
     """Hosts that are emptied for their maintenance."""
@@ -133,13 +142,16 @@
         self.sizes = pool_sizes.PoolSizes()
         self.sizes.floor = 1
 
-    def moves(self, wanted_cores, hosts, now=0.0, plans=None):
+    def moves(self, wanted_cores, hosts, now=0.0, plans=None, late_after=9.0):
         """Return pairs of host and pool; pools want ``wanted_cores``."""
         steps = {
             pool: (make_step(1, need=Need(cores, 1, 0)),)
             for pool, cores in wanted_cores.items()
         }
-        jobs = {p: [JobState(make_job(steps=steps[p], pool=p))] for p in steps}
+        jobs = {
+            p: [JobState(make_job(steps=steps[p], pool=p, target_duration=late_after))]
+            for p in steps
+        }
         plans = plans or {}
         gaps = self.sizes.gaps(jobs.__getitem__, steps, hosts, plans, 5.0)
         self.sizes.note(gaps, now)
@@ -151,6 +163,10 @@
         moves = self.moves({"a": 20.0}, hosts)
         self.assertEqual(["a", "a"], [pool for _, pool in moves])
 
+    def test_late_backlog_brings_no_hosts(self):
+        hosts = make_hosts({"a": 1, "off": 3})
+        self.assertEqual([], self.moves({"a": 20.0}, hosts, late_after=1.0))
+
     def test_host_under_way_counts(self):
         hosts = make_hosts({"a": 1, "off": 3})
         plans = {"off0": HostPlan("off0", "w-off0", 1.0, pool="a")}
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -127,6 +127,21 @@
 
         self.run_site(scenario)
 
+    def test_run_that_stands_still_is_run_elsewhere(self):
+        job = make_job(steps=(make_step(1, estimate=0.05),))
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 60.0
+            await submit(world, job)
+            await until(lambda: count_starts(world, job))
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 0.05
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        world = self.run_site(scenario)
+        self.assertEqual([2], list(count_starts(world, job).values()))
+
     def test_restarted_worker_loses_its_runs_at_once(self):
         job = make_job(steps=(make_step(1, long_running=True),))
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -26,6 +26,8 @@
 
 HOLD_WAIT_SECONDS = 1.0
 """How long a worker holds a call that waits for an end; bounds the lease's age."""
+REPORT_SLACK_SECONDS = 0.2
+"""How late a report may be; several times the way between availability zones."""
 ORDER_CONNECTIONS = 2
 """Connections for orders, so that one without an answer does not hold up the rest."""
 RETRY_SECONDS = 0.15
@@ -88,6 +90,11 @@
         silence = 2 * HOLD_WAIT_SECONDS
         return self.heard_at is None or boot_time() > self.heard_at + silence
 
+    def is_overdue(self, now):
+        """Tell whether a report should have come by ``now``, a ``boot_time``."""
+        late = HOLD_WAIT_SECONDS + REPORT_SLACK_SECONDS
+        return self.is_failing or self.heard_at is None or now > self.heard_at + late
+
     def lease_end(self):
         """Return the end of a full lease on the worker's clock, or ``None``.
 
