Split the links and the rooms from a pool's controller; drop jobs after their retention

Jobs that ended longer ago than the stated retention leave the stream and the memory, which nothing did before.

--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -18,6 +18,7 @@
         self.changed = {}
         self.ended = {}
         self.extra = []
+        self.forgotten = []
 
     def job(self, job_id):
         """Return the ``JobState`` of a job that has not ended, or ``None``."""
@@ -48,6 +49,10 @@
         """End a job; its tasks are dropped."""
         self.ended[job_id] = JobEnded(job_id, outcome, now)
 
+    def forget_job(self, job_id):
+        """Drop a job that ended long ago, and all that is said of it."""
+        self.forgotten.append(job_id)
+
     def add(self, record):
         """Store another record along with the changes."""
         self.extra.append(record)
@@ -56,6 +61,9 @@
         for job_id in self.ended:
             for task_id in self.ledger.active[job_id].tasks:
                 yield encode_drop(("task", str(task_id)))
+        for job_id in self.forgotten:
+            for kind in ("cancel", "end", "job"):
+                yield encode_drop((kind, job_id))
 
     def records(self):
         """Return the changes as encoded records."""
--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -80,6 +80,14 @@
             draft.end_job(state.job.id, JobOutcome.COMPLETED, now)
 
 
+def forget_jobs(draft, retention, now):
+    """Drop the jobs that ended more than ``retention`` seconds ago."""
+    for job_id, state in draft.ledger.jobs.items():
+        is_ended = state.outcome is not None and state.job.pool == draft.pool
+        if is_ended and now > state.ended_at + retention:
+            draft.forget_job(job_id)
+
+
 def unwanted_runs(state):
     """Yield the runs of a job that are to be stopped: of a job that is over."""
     if state.is_over:
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -112,7 +112,6 @@
     priority: int = 0
     stretch: float = 1.0
     target_duration: float = 0.0
-    advised: bool = False
 
     def due_at(self, occurrence):
         """Return when an occurrence may start, in seconds since the epoch."""
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -140,7 +140,6 @@
         state.outcome, state.ended_at = record.outcome, record.at
         for task_id, task in state.tasks.items():
             self._count(task_id, task, -1)
-            self.offsets.pop(("task", str(task_id)), None)
         state.tasks = {}
         state.job = attrs.evolve(state.job, spec="", steps=())
 
@@ -149,6 +148,7 @@
         if kind == "job":
             self.active.pop(name, None)
             self.jobs.pop(name, None)
+        self.offsets.pop(key, None)
 
     def pending(self, queue):
         """Return how many accepted jobs of ``queue`` have started no task."""
--- a/azurelanding/leveling.py
+++ b/azurelanding/leveling.py
@@ -28,13 +28,9 @@
 
 
 class Levels:
-    """The pace of the filling tasks of a pool, by worker.
+    """The pace of the filling tasks of a pool, by worker."""
 
-    ``patience`` is how long, in seconds, the users allow a target to be missed.
-    """
-
-    def __init__(self, patience):
-        self.patience = patience
+    def __init__(self):
         self.levels = {}
 
     def _worst(self, link, ledger):
--- a/azurelanding/platform/callers.py
+++ b/azurelanding/platform/callers.py
@@ -77,7 +77,6 @@
             priority=queue.priority,
             stretch=queue.stretch,
             target_duration=queue.target_duration,
-            advised=queue.advice is not None,
         )
     except JobFormatError:
         raise
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -16,12 +16,14 @@
 from azurelanding.job_draft import JobDraft
 from azurelanding.jobs import RunEnd
 from azurelanding.ledger import WorkersVacated
+from azurelanding.pool_links import PoolLinks
 from azurelanding.pool_stream import TOPIC
 from azurelanding.store import Producer, StoreError, StoreFencedError
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import Refusal, StartOrder, StopOrder
 from azurelanding.worker_health import WorkerHealths
-from azurelanding.worker_link import TAKEOVER_SLACK_SECONDS, WorkerLink
+from azurelanding.worker_link import TAKEOVER_SLACK_SECONDS
+from azurelanding.worker_rooms import usable_rooms
 
 logger = structlog.get_logger()
 
@@ -33,6 +35,8 @@
 """A controller waits for the store as long as it holds its pool."""
 STOP_SECONDS = 0.6
 """Time after which a stop is ordered again; over the time that workers take for one."""
+FORGET_SECONDS = 5.0
+"""Time between two looks for jobs whose retention is over, and its slack for clocks."""
 FULL_PAUSE_SECONDS = 0.4
 """How long a worker that refused for want of room gets no start."""
 TASK_PAUSE_SECONDS = 0.5
@@ -62,17 +66,16 @@
         self.appender = Appender(
             TOPIC, stream.partition, stream.make_client(), producer, self.lose
         )
-        self.links = {}
-        self.scopes = {}
+        self.workers = PoolLinks(pool, epoch, stream.ledger, daemon, self.wake)
+        self.links = self.workers.links
         self.rests = {}
         self.healths = WorkerHealths()
-        self.levels = leveling.Levels(daemon.site.timing.harm)
+        self.levels = leveling.Levels()
         self.tickets = daemon.make_tickets()
-        self.registered = {}
         self.is_lost = False
         self.is_due = True
         self.due = Notifier()
-        self.started_at = boot_time()
+        self.started_at = self.forgot_at = boot_time()
 
     def lose(self):
         """Note that the control is lost."""
@@ -138,69 +141,10 @@
             if self.is_due:
                 await anyio.sleep(BATCH_SECONDS)
             self.is_due = False
-            self._match_links(task_group)
-            await self._decide()
-
-    # Workers
-
-    def _is_wanted(self, worker_id):
-        return worker_id in self.registered or worker_id in self.ledger.placed
-
-    def _match_links(self, task_group):
-        """Follow each registered worker, and drop those that are over."""
-        self.registered = self.daemon.registry.in_pool(self.pool)
-        for worker_id, entry in self.registered.items():
-            link = self.links.get(worker_id)
-            if link is not None and self._is_reborn(link, entry):
-                self._drop_link(worker_id)
-                link = None
-            if link is None:
-                self._add_link(entry, task_group)
-            elif link.entry != entry:
-                link.entry = entry
-        for worker_id, link in list(self.links.items()):
-            if link.is_fenced:
+            self.workers.match(task_group)
+            if self.workers.is_fenced():
                 self.lose()
-            if not self._is_wanted(worker_id):
-                self._drop_link(worker_id)
-
-    def _is_reborn(self, link, entry):
-        """Tell whether an entry is that of a later life at another address."""
-        if link.entry.address != entry.address:
-            return True
-        return link.is_gone and entry.born > link.born
-
-    def _add_link(self, entry, task_group):
-        link = WorkerLink(
-            entry,
-            lambda worker: self.daemon.make_worker_client(worker, self.epoch),
-            self.site.timing.longest_lease,
-            self.wake,
-            self._is_startable,
-        )
-        for key in self.ledger.placed.get(entry.id, ()):
-            link.expect(key)
-        scope = anyio.CancelScope()
-        self.links[entry.id], self.scopes[entry.id] = link, scope
-        task_group.start_soon(self._serve_link, link, scope)
-
-    def _is_startable(self, task_id):
-        """Tell whether a task that was placed is still to be started."""
-        state = self.ledger.active.get(task_id.job)
-        return state is not None and not state.is_over
-
-    async def _serve_link(self, link, scope):
-        with scope:
-            async with anyio.create_task_group() as task_group:
-                task_group.start_soon(link.follow)
-                for orderer in link.orderers:
-                    task_group.start_soon(link.send_orders, orderer)
-        with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
-            await link.close()
-
-    def _drop_link(self, worker_id):
-        self.links.pop(worker_id)
-        self.scopes.pop(worker_id).cancel()
+            await self._decide()
 
     # Decisions
 
@@ -211,6 +155,7 @@
         self._note_losses(draft)
         self._note_vacated(draft)
         job_ends.end_jobs(draft, time.time())
+        self._forget(draft)
         starts = self._place(draft)
         records = draft.records()
         if records and not await self._store(records):
@@ -224,6 +169,16 @@
         self._evacuate()
         self._level()
 
+    def _forget(self, draft):
+        """Drop what is over, now and then."""
+        now = boot_time()
+        if now < self.forgot_at + FORGET_SECONDS:
+            return
+        self.forgot_at = now
+        retention = self.site.timing.retention + FORGET_SECONDS
+        job_ends.forget_jobs(draft, retention, time.time())
+        self.tickets.prune(self.ledger.active)
+
     async def _store(self, records):
         """Store a decision; return whether it counts."""
         try:
@@ -332,42 +287,8 @@
 
     # Placement
 
-    def _usable(self, link, cordoned):
-        entry, now = link.entry, boot_time()
-        return (
-            entry.id in self.registered
-            and entry.phase is WorkerPhase.READY
-            and entry.id not in cordoned
-            and link.is_sure
-            and not (link.is_gone or link.is_silent)
-            and now >= link.paused_until
-            and not self.healths.is_shut(entry.id, now)
-        )
-
     def _rooms(self, draft, cordoned):
-        """Return the rooms of the usable workers, less what runs there."""
-        rooms = {}
-        for link in self.links.values():
-            if self._usable(link, cordoned):
-                entry = link.entry
-                rack = next((label for label in entry.labels if "-" in label), "")
-                rooms[entry.id] = job_placement.WorkerRoom(
-                    entry.id,
-                    entry.room.cores,
-                    entry.room.memory,
-                    entry.room.accelerators,
-                    entry.room,
-                    rack,
-                    frozenset(entry.labels),
-                    self.healths.penalty(entry.id) + entry.slow_for,
-                )
-        for state in draft.jobs():
-            for task_id, task in state.tasks.items():
-                for worker in task.active.values():
-                    if worker in rooms:
-                        key = (state.job.id, task_id.occurrence, task_id.step)
-                        rooms[worker].take(state.job.steps[task_id.step], key)
-        return rooms
+        return usable_rooms(self.workers, cordoned, self.healths, draft)
 
     def _rests(self, task_id):
         until = self.rests.get(task_id)
@@ -480,7 +401,7 @@
     def _note_vacated(self, draft):
         """Record which workers this controller keeps empty for their hosts' sake."""
         cordoned = self.daemon.cordoned()
-        workers = tuple(sorted(cordoned & self.registered.keys()))
+        workers = tuple(sorted(cordoned & self.workers.registered.keys()))
         if workers != self.ledger.vacated.get(self.pool, ()):
             draft.add(WorkersVacated(self.pool, workers))
 
@@ -489,7 +410,7 @@
         leaving = self.daemon.cordoned() & self.links.keys()
         draining = {
             worker_id
-            for worker_id, entry in self.registered.items()
+            for worker_id, entry in self.workers.registered.items()
             if entry.phase is WorkerPhase.DRAINING
         }
         if not (leaving | draining):
@@ -502,8 +423,7 @@
             self._stop(worker, task_id, run, "worker about to end")
 
     async def _close(self):
-        for scope in self.scopes.values():
-            scope.cancel()
+        self.workers.close()
         with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
             await self.appender.close()
             await self.tickets.close()
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -203,7 +203,7 @@
         link = WorkerLink(
             WorkerModel("v", "cuts").entry(), lambda e: None, 6, None, None
         )
-        levels = leveling.Levels(4.0)
+        levels = leveling.Levels()
 
         def look(tail):
             link.report_count += 1
--- a/azurelanding/tests/test_ledger.py
+++ b/azurelanding/tests/test_ledger.py
@@ -2,7 +2,9 @@
 
 import testtools
 
-from azurelanding.job_records import encode_record
+from azurelanding import job_ends
+from azurelanding.job_draft import JobDraft
+from azurelanding.job_records import decode_record, encode_record
 from azurelanding.jobs import JobOutcome, JobPhase, TaskId, TaskState
 from azurelanding.ledger import (
     JobCancelled,
@@ -62,6 +64,18 @@
         ledger = fold(Ledger(), JobSubmitted(JOB), failed)
         self.assertEqual(JobPhase.FAILED, ledger.jobs[JOB.id].phase)
 
+    def test_ended_job_is_dropped_with_all_its_keys_after_its_retention(self):
+        ended = JobEnded(JOB.id, JobOutcome.COMPLETED, 10.0)
+        ledger = fold(Ledger(), JobSubmitted(JOB), ended)
+        for now, dropped in ((129.0, 0), (131.0, 3)):
+            draft = JobDraft(ledger, "cuts")
+            job_ends.forget_jobs(draft, 120.0, now)
+            self.assertEqual(dropped, len(draft.records()))
+        for offset, (text, value) in enumerate(draft.records(), 2):
+            key, record = decode_record(text, value)
+            ledger.apply(key, record, offset)
+        self.assertEqual(({}, {}), (ledger.jobs, ledger.offsets))
+
     def test_pending_counts_jobs_without_a_start(self):
         other = make_job("b" * 16)
         ledger = fold(Ledger(), JobSubmitted(JOB), JobSubmitted(other))
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -168,6 +168,8 @@
         self.report_count += 1
         self.listed = {(run.task, run.run): run for run in report.runs}
         self._note_work()
+        known = self.listed.keys() | self.runs.keys()
+        self.stops = {key: at for key, at in self.stops.items() if key in known}
         fresh = [end for end in report.ends if end.number > self.seen]
         ended = {(end.task, end.run) for end in fresh}
         self.ends.update((end.number, end) for end in fresh)
