Run without an advice service or an API of hosts

Cause: clients were made for an empty address, so the process ended by itself as soon as it took control; the test of a whole process found it.

--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -55,13 +55,18 @@
     return None
 
 
+def _if_any(address, make_client):
+    """Return a maker of clients for ``address``, ``None`` where there is none."""
+    return functools.partial(make_client, address) if address else None
+
+
 def make_peers(site):
     """Return the clients and decoders for the peers of ``site``."""
     return Peers(
         make_store=functools.partial(StoreClient.from_config, site.store),
         make_worker_client=WorkerClient.from_config,
-        make_hosts=functools.partial(HostsClient.from_config, site.hosts_address),
-        make_advice=functools.partial(AdviceClient.from_config, site.advice_address),
+        make_hosts=_if_any(site.hosts_address, HostsClient.from_config),
+        make_advice=_if_any(site.advice_address, AdviceClient.from_config),
         decode_operator=decode_operator_record,
         decode_worker=lambda record: decode_entry(record.key, record.value),
         encode_wave=operator.wave_status,
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -40,7 +40,8 @@
     """What the daemon's peers are spoken to with, as functions.
 
     ``make_store()``, ``make_worker_client(entry, epoch)``, ``make_hosts(holder)``
-    and ``make_advice()`` return clients. ``decode_operator(record)`` and
+    and ``make_advice()`` return clients; the last two are ``None`` where a site has no
+    such peer. ``decode_operator(record)`` and
     ``decode_worker(record)`` read what others store, and ``encode_wave(number,
     is_complete)`` returns what tells the operator of a wave, to be stored in
     ``status_topic``.
@@ -162,6 +163,8 @@
 
     def make_tickets(self):
         """Return the tickets of one pool."""
+        if self.peers.make_advice is None:
+            return Tickets(None, lambda queue: None)
         return Tickets(self.peers.make_advice(), self.find_advice)
 
     def find_queue(self, host, path):
@@ -253,7 +256,8 @@
         task_group.start_soon(self.member.run)
         task_group.start_soon(self._follow_configuration)
         task_group.start_soon(self._follow_holdings)
-        task_group.start_soon(FleetDuty.from_config(self).run)
+        if self.peers.make_hosts is not None:
+            task_group.start_soon(FleetDuty.from_config(self).run)
         logger.info("daemon started", name=self.name)
 
     async def leave(self):
--- a/azurelanding/tickets.py
+++ b/azurelanding/tickets.py
@@ -121,4 +121,5 @@
 
     async def close(self):
         """Close the connection; may be called twice."""
-        await self.client.close()
+        if self.client is not None:
+            await self.client.close()
