Test a link's starts on their own

Seven mended faults were put back one at a time in a scratch copy: five made their test fail; the start that its repeat finds ended and the start of a job that is over passed unnoticed by the tests of whole daemons. The new tests fail with each of them put back.

--- /dev/null
+++ b/azurelanding/tests/test_worker_link.py
@@ -0,0 +1,104 @@
+"""Test what a link does with starts that are unanswered, refused or not wanted."""
+
+import anyio
+import testtools
+
+from azurelanding.jobs import TaskId
+from azurelanding.standins.platform_worker import WorkerModel
+from azurelanding.utils import boot_time
+from azurelanding.worker_calls import (
+    Refusal,
+    StartOrder,
+    WorkerRefusedError,
+    WorkerSilentError,
+)
+from azurelanding.worker_link import WorkerLink
+
+TASK = TaskId("0" * 16, 0, 0, 0)
+KEY = (TASK, 1)
+
+
+class ScriptedClient:
+    """Answers starts with the faults it is given, then as done; notes its calls."""
+
+    def __init__(self, *faults):
+        self.faults = list(faults)
+        self.calls = []
+
+    async def start(self, order, lease_end):
+        self.calls.append("start")
+        if self.faults:
+            raise self.faults.pop(0)
+
+    async def stop(self, task, run):
+        self.calls.append("stop")
+
+
+def silent():
+    """Return the fault of a call that may have been carried out."""
+    return WorkerSilentError("no answer", True)
+
+
+def refused(reason):
+    """Return the fault of a call that was refused."""
+    return WorkerRefusedError("refused", reason)
+
+
+class StartTest(testtools.TestCase):
+    """One start order, from its first call to its outcome."""
+
+    def start(self, client, is_startable=True):
+        """Return the link after a start over ``client``."""
+
+        async def main():
+            link = WorkerLink(
+                WorkerModel("w", "cuts").entry(),
+                lambda entry: client,
+                6.0,
+                lambda: None,
+                lambda task: is_startable,
+            )
+            link.clock = (1.0, boot_time())
+            order = StartOrder(TASK, 1, "spec")
+            link.order(order)
+            with anyio.fail_after(5):
+                await link._start(client, order)
+            return link
+
+        return anyio.run(main)
+
+    def test_unanswered_start_is_repeated(self):
+        client = ScriptedClient(silent(), silent())
+        link = self.start(client)
+        self.assertEqual(["start"] * 3, client.calls)
+        self.assertIsNotNone(link.runs[KEY])
+
+    def test_run_refused_as_old_on_its_repeat_may_have_ended(self):
+        client = ScriptedClient(silent(), refused(Refusal.OLD_RUN))
+        link = self.start(client)
+        self.assertEqual(["start", "start"], client.calls)
+        self.assertEqual([], link.not_started)
+        self.assertIsNotNone(link.runs[KEY])
+
+    def test_start_refused_at_once_never_began(self):
+        client = ScriptedClient(refused(Refusal.NO_ROOM))
+        link = self.start(client)
+        self.assertEqual([(KEY, Refusal.NO_ROOM)], link.not_started)
+        self.assertEqual(["start"], client.calls)
+
+    def test_start_refused_on_its_repeat_is_stopped_and_left_to_reports(self):
+        client = ScriptedClient(silent(), refused(Refusal.NO_ROOM))
+        link = self.start(client)
+        self.assertEqual(["start", "start", "stop"], client.calls)
+        self.assertEqual([], link.not_started)
+        self.assertIsNotNone(link.runs[KEY])
+
+    def test_start_of_a_job_that_is_over_is_not_sent(self):
+        client = ScriptedClient()
+        link = self.start(client, is_startable=False)
+        self.assertEqual([], client.calls)
+        self.assertEqual([(KEY, None)], link.not_started)
+
+    def test_fencing_ends_the_control(self):
+        link = self.start(ScriptedClient(refused(Refusal.FENCED)))
+        self.assertTrue(link.is_fenced)
