Free the runs of a missing worker though the control moves on

Change: since when a worker has no entry is stored, and a later controller goes on from there; the entry of a later life of the host frees the runs of the earlier at once. Both tests failed before.

--- a/azurelanding/fleet_workers.py
+++ b/azurelanding/fleet_workers.py
@@ -1,5 +1,6 @@
 """Know the workers that have registered, and the hosts they live on."""
 
+import collections
 import enum
 
 import attrs
@@ -7,6 +8,10 @@
 from azurelanding.tasks import Need
 
 
+REMEMBERED_ENDS = 4096
+"""Ended lives that are remembered; several days' worth of restarts and repairs."""
+
+
 class WorkerPhase(enum.Enum):
     """What a worker says of itself."""
 
@@ -57,11 +62,18 @@
 
 
 class WorkerRegistry:
-    """The registered workers by id; ``changes`` counts what has changed."""
+    """The registered workers by id; ``changes`` counts what has changed.
+
+    A host lives one life at a time: once a later one has registered, the earlier
+    ones are over, though nobody could reach them. ``newest`` holds the latest entry
+    of each host, ``ended`` the ids of earlier lives.
+    """
 
     def __init__(self):
         self.workers = {}
         self.changes = 0
+        self.newest = {}
+        self.ended = collections.OrderedDict()
 
     def clear(self):
         """Forget all workers, to be read again from the store."""
@@ -77,6 +89,24 @@
             self.workers.pop(worker_id, None)
         else:
             self.workers[worker_id] = entry
+            self._note_life(entry)
+
+    def _note_life(self, entry):
+        if not entry.host:
+            return
+        known = self.newest.get(entry.host)
+        if known is None or known.id == entry.id:
+            self.newest[entry.host] = entry
+        elif known.born != entry.born:
+            older, newer = sorted((known, entry), key=lambda life: life.born)
+            self.newest[entry.host] = newer
+            self.ended[older.id] = None
+            if len(self.ended) > REMEMBERED_ENDS:
+                self.ended.popitem(last=False)
+
+    def is_over(self, worker_id):
+        """Tell whether a later life of its host shows that a worker is over."""
+        return worker_id in self.ended
 
     def in_pool(self, pool):
         """Return the registered workers of a pool, by id."""
--- a/azurelanding/job_records.py
+++ b/azurelanding/job_records.py
@@ -11,6 +11,7 @@
     JobEnded,
     JobSubmitted,
     TaskChanged,
+    WorkersMissing,
     WorkersVacated,
     record_key,
 )
@@ -20,6 +21,7 @@
     "cancel": JobCancelled,
     "end": JobEnded,
     "vacated": WorkersVacated,
+    "missing": WorkersMissing,
 }
 
 
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -51,6 +51,18 @@
     workers: tuple[str, ...]
 
 
+@attrs.frozen
+class WorkersMissing:
+    """Workers with runs that no entry names, and since when.
+
+    Since the time given, in seconds since the epoch, no controller of the pool has
+    extended their leases; a later one goes on from there.
+    """
+
+    pool: str
+    since: dict[str, float]
+
+
 def record_key(record):
     """Return the key that compacts the stream: what a record stands for."""
     match record:
@@ -64,6 +76,8 @@
             return ("task", str(record.task))
         case WorkersVacated():
             return ("vacated", record.pool)
+        case WorkersMissing():
+            return ("missing", record.pool)
     raise TypeError(f"no key for {record!r}")
 
 
@@ -72,7 +86,7 @@
 
     ``active`` holds those that have not ended. ``placed`` maps each worker to the
     runs that may be on it. ``vacated`` holds, by pool, the workers that its
-    controller keeps empty.
+    controller keeps empty, ``missing`` since when workers with runs have no entry.
     """
 
     def __init__(self):
@@ -84,6 +98,7 @@
         self.active = {}
         self.placed = {}
         self.vacated = {}
+        self.missing = {}
         self.offsets = {}
 
     def apply(self, key, record, offset):
@@ -105,6 +120,8 @@
                 self._end(record)
             case WorkersVacated():
                 self.vacated[record.pool] = record.workers
+            case WorkersMissing():
+                self.missing[record.pool] = record.since
 
     def _submit(self, job):
         if job.id not in self.jobs:
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -15,7 +15,7 @@
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.job_draft import JobDraft
 from azurelanding.jobs import RunEnd
-from azurelanding.ledger import WorkersVacated
+from azurelanding.ledger import WorkersMissing, WorkersVacated
 from azurelanding.pool_links import PoolLinks
 from azurelanding.pool_stream import TOPIC
 from azurelanding.store import Producer, StoreError, StoreFencedError
@@ -39,10 +39,16 @@
 """Time between two looks for jobs whose retention is over, and its slack for clocks."""
 FULL_PAUSE_SECONDS = 0.4
 """How long a worker that refused for want of room gets no start."""
+CLOCK_STEP_SECONDS = 4.0
+"""How far the time of day of two daemons may differ: each jumps by two seconds."""
 TASK_PAUSE_SECONDS = 0.5
 """How long a task rests after a start that was refused."""
 
 
+LEASE_FACTOR = 1.05
+"""A full lease on a worker whose clock is slow, and the slack for it."""
+
+
 class ControlLostError(Exception):
     """Another daemon controls the pool."""
 
@@ -225,7 +231,7 @@
         """Free the runs that surely are not under way any more."""
         now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
-            link.is_gone = link.is_gone or worker_id in ended
+            link.is_gone = link.is_gone or self._is_over(worker_id, ended)
             for (task, run), refusal in link.not_started:
                 self._note_refused(draft, link, task, run, refusal)
             link.not_started = []
@@ -236,19 +242,54 @@
                 reason = "worker gone" if link.is_gone else "lease over"
                 for task, run in list(self.ledger.placed.get(worker_id, ())):
                     self._free(draft, link, task, run, reason)
-        self._note_unlinked(draft, now)
+        self._note_missing(draft, now, ended)
 
-    def _note_unlinked(self, draft, now):
-        """Free the runs on workers that no entry names, once their lease is over."""
-        lease = self.site.timing.longest_lease
-        if now < self.started_at + TAKEOVER_SLACK_SECONDS + 1.05 * lease:
-            return
-        for worker_id in self.ledger.placed.keys() - self.links.keys():
-            for task, run in list(self.ledger.placed[worker_id]):
-                if self.ledger.active[task.job].job.pool != self.pool:
-                    continue
-                job_ends.note_lost(draft, task, run)
-                logger.info("run freed", task=str(task), run=run, reason="no worker")
+    def _is_over(self, worker_id, ended):
+        """Tell whether a worker's life is surely over, whatever its lease."""
+        return worker_id in ended or self.daemon.registry.is_over(worker_id)
+
+    def _own_runs(self, worker_id):
+        return [
+            (task, run)
+            for task, run in self.ledger.placed[worker_id]
+            if self.ledger.active[task.job].job.pool == self.pool
+        ]
+
+    def _note_missing(self, draft, now, ended):
+        """Free the runs on workers that no entry names, once their lease is over.
+
+        Since when a worker is missing is stored, so that a takeover does not wait
+        for the whole of its lease anew. It is followed again only once the record no
+        longer names it, for its lease is extended from then on.
+        """
+        runs = {
+            worker_id: self._own_runs(worker_id)
+            for worker_id in self.ledger.placed.keys() - self.links.keys()
+            if worker_id not in self.workers.registered
+        }
+        known, wall = self.ledger.missing.get(self.pool, {}), time.time()
+        missing = {name: known.get(name, wall) for name in sorted(runs) if runs[name]}
+        if missing != known:
+            draft.add(WorkersMissing(self.pool, missing))
+        wait = TAKEOVER_SLACK_SECONDS + self.site.timing.longest_lease * LEASE_FACTOR
+        for name in missing:
+            is_expired = now > self.started_at + wait or (
+                name in known and wall > known[name] + wait + CLOCK_STEP_SECONDS
+            )
+            if is_expired or self._is_over(name, ended):
+                for task, run in runs[name]:
+                    self._free_missing(draft, task, run, name)
+
+    def _free_missing(self, draft, task, run, worker_id):
+        job_ends.note_lost(draft, task, run)
+        logger.info(
+            "run freed",
+            job=task.job,
+            task=str(task),
+            run=run,
+            worker=worker_id,
+            reason="no worker",
+        )
 
     def _free(self, draft, link, task, run, reason):
         job_ends.note_lost(draft, task, run)
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -32,7 +32,11 @@
     def match(self, task_group):
         """Follow each registered worker, and drop those that are over."""
         self.registered = self.daemon.registry.in_pool(self.pool)
+        missing = self.ledger.missing.get(self.pool, ())
         for worker_id, entry in self.registered.items():
+            if worker_id in missing:
+                # Its lease counts as extended by nobody until the record is gone.
+                continue
             link = self.links.get(worker_id)
             if link is not None and _is_reborn(link, entry):
                 self._drop(worker_id)
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -11,7 +11,7 @@
 logger = structlog.get_logger()
 
 TOPIC = "jobs"
-LOAD_ORDER = ("job", "cancel", "task", "end", "vacated")
+LOAD_ORDER = ("job", "cancel", "task", "end", "vacated", "missing")
 """A job comes before what is said of it; a repeat of its record may be newer."""
 READ_WAIT_SECONDS = 1.0
 """How long the store holds a read; short, so that a silent connection shows soon."""
--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -39,9 +39,10 @@
 class WorkerModel:
     """One worker, what runs on it, and every start it has carried out."""
 
-    def __init__(self, name, pool, room=None):
+    def __init__(self, name, pool, room=None, host=None):
         self.room = room or Need(8.0, 1 << 34, 0)
         self.name = name
+        self.host = host or f"host-{name}"
         self.pool = pool
         self.knobs = WorkerKnobs()
         self.started = []
@@ -64,7 +65,7 @@
         """Return what the worker registers."""
         return WorkerEntry(
             id=self.name,
-            host=f"host-{self.name}",
+            host=self.host,
             pool=self.pool,
             address=self.name,
             availability_zone="a",
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -42,6 +42,14 @@
     return starts
 
 
+def take_over(world):
+    """Let the daemon take its pools over under a higher epoch."""
+    (daemon,) = world.daemons
+    world.store.deal("control", ("jobs", "fleet"))
+    daemon.member.holdings.clear()
+    daemon.member.changes.notify()
+
+
 class SiteTest(testtools.TestCase):
     """Jobs from acceptance to their end."""
 
@@ -155,6 +163,41 @@
 
         self.run_site(scenario, lease=6.0)
 
+    def test_later_life_of_a_host_frees_the_runs_of_the_earlier(self):
+        job = make_job(steps=(make_step(1, long_running=True),))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: count_starts(world, job))
+            (holder,) = [m for m in world.fleet.models.values() if m.started]
+            holder.knobs.silent = True
+            world.store.put("workers", holder.name, None)
+            later = world.add_worker("later", host=holder.host)
+            later.lives = holder.lives + 1
+            await until(lambda: sum(count_starts(world, job).values()) == 2, 2.0)
+
+        self.run_site(scenario, workers=1, lease=6.0)
+
+    def test_takeovers_in_a_row_free_the_runs_of_a_missing_worker(self):
+        job = make_job(steps=(make_step(1, long_running=True),))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: count_starts(world, job))
+            (holder,) = [m for m in world.fleet.models.values() if m.started]
+            (other,) = [m for m in world.fleet.models.values() if m is not holder]
+            holder.knobs.silent = True
+            world.store.put("workers", holder.name, None)
+            with anyio.fail_after(12.0):
+                while not other.started:
+                    take_over(world)
+                    with anyio.move_on_after(1.5):
+                        await until(lambda: other.started)
+
+        self.run_site(scenario)
+
     def test_takeover_knows_what_runs(self):
         job = make_job(steps=(make_step(4, long_running=True),))
 
