Keep the duty for hosts with its holder while daemons come and go

Change: the duty has a group of its own, which a daemon joins only while nobody holds it. A host that refused an order as busy rests for a second.

--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -36,6 +36,8 @@
 """Share of a wave's time after which its hosts are no longer waited for so long."""
 STORE_PATIENCE_SECONDS = 5.0
 """How long an append may take before the holder looks anew."""
+BUSY_PAUSE_SECONDS = 1.0
+"""Rest of a host that refused an order as busy; about the time of a move."""
 GONE_SECONDS = 3.0
 """How long a host is missing from the list before it counts as gone for good."""
 
@@ -46,13 +48,14 @@
     def __init__(self, daemon, client):
         self.daemon = daemon
         self.client = client
-        self.member = daemon.member
+        self.member = daemon.duty_member
         self.fold = daemon.fleet
         self.site = daemon.site
         self.hosts = {}
         self.vacant_since = {}
         self.missing_since = {}
         self.ordered = {}
+        self.busy_until = {}
         self.told = {}
         self.sizes = pool_sizes.PoolSizes()
 
@@ -291,6 +294,8 @@
             return
         if not self._has_turn(plan):
             return
+        if boot_time() < self.busy_until.get(plan.host, 0.0):
+            return
         if not (self._holds(epoch) and self.member.is_valid):
             return
         try:
@@ -300,6 +305,7 @@
             else:
                 await self.client.move(plan.host, plan.pool, epoch)
         except HostBusyError as error:
+            self.busy_until[plan.host] = boot_time() + BUSY_PAUSE_SECONDS
             logger.info("host busy", host=plan.host, reason=str(error))
             return
         await self._note_ordered(plan)
--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -1,8 +1,10 @@
-"""Keep this daemon in the group whose members share the control of the pools.
+"""Keep this daemon in the groups whose members hold the control.
 
-The store deals the partitions of the topics evenly over the members. A pool is
+The store deals the partitions of a group's topics evenly over its members. A pool is
 controlled by the holder of its partition, under the generation at which the store
-gave it that partition: a later holder has a higher one.
+gave it that partition: a later holder has a higher one. A duty that one daemon holds
+at a time has a group of its own, which only the holder joins: there it stays, however
+often the others come and go.
 """
 
 import zlib
@@ -15,7 +17,8 @@
 
 logger = structlog.get_logger()
 
-GROUP = "control"
+CONTROL_GROUP = "control"
+DUTY_GROUP = "fleet-duty"
 JOIN_SECONDS = 0.4
 """Time between two joins; a third of the silence, so that one may be lost."""
 SILENCE_SECONDS = 1.4
@@ -28,14 +31,17 @@
 
 
 class GroupMember:
-    """This daemon's part in the group; ``holdings`` maps partitions to epochs.
+    """This daemon's part in a group; ``holdings`` maps partitions to epochs.
 
     ``valid_until`` is a time of ``boot_time`` after which the store may have given
-    the holdings to others.
+    the holdings to others. With ``sole``, a partition, the daemon is in the group only
+    while it holds that partition, or while nobody does.
     """
 
-    def __init__(self, name, topics, client, silence):
+    def __init__(self, name, group, topics, client, silence, sole=None):
         self.name = name
+        self.group = group
+        self.sole = sole
         self.topics = topics
         self.client = client
         self.silence = silence
@@ -46,10 +52,16 @@
         self.changes = Notifier()
 
     @classmethod
-    def from_config(cls, name, topics, limits, client):
-        """Return a member of the store that ``limits`` describe."""
+    def from_config(cls, name, topic, limits, client):
+        """Return a member that shares the control of the pools in ``topic``."""
         silence = max(SILENCE_SECONDS, limits.shortest_membership)
-        return cls(name, topics, client, silence)
+        return cls(name, CONTROL_GROUP, (topic,), client, silence)
+
+    @classmethod
+    def for_duty(cls, name, topic, limits, client):
+        """Return a member that holds the duty of ``topic`` when nobody else does."""
+        silence = max(SILENCE_SECONDS, limits.shortest_membership)
+        return cls(name, DUTY_GROUP, (topic,), client, silence, (topic, 0))
 
     def epoch_of(self, topic, partition):
         """Return the epoch under which this daemon holds a partition, or ``None``."""
@@ -90,24 +102,47 @@
     async def run(self):
         """Stay in the group until cancelled."""
         while not self.stopping:
-            sent_at = boot_time()
             try:
-                membership = await self.client.join(
-                    GROUP, self.name, self.topics, self.generation, self.silence
-                )
+                await self._stay()
             except StoreError as error:
-                logger.info("join failed", reason=str(error))
-            else:
-                self._take(membership, sent_at)
+                logger.info("join failed", group=self.group, reason=str(error))
             await anyio.sleep(JOIN_SECONDS)
 
+    async def _stay(self):
+        """Join the group, or stay in it, unless another holds what is sought."""
+        if self.sole is not None and not await self._may_join():
+            return
+        sent_at = boot_time()
+        membership = await self.client.join(
+            self.group, self.name, self.topics, self.generation, self.silence
+        )
+        if self.stopping:
+            return
+        self._take(membership, sent_at)
+        if self.sole is not None and self.sole not in self.holdings:
+            await self.client.leave(self.group, self.name)
+
+    async def _may_join(self):
+        """Tell whether no other holds what is sought, as far as is known.
+
+        A holding that was given up comes back only after a silence, so that it has a
+        higher epoch.
+        """
+        is_held = self.sole in self.holdings
+        if is_held and self.is_valid:
+            return True
+        owner = (await self.client.owners(self.group)).get(self.sole)
+        if is_held and owner not in (None, self.name):
+            self.give_up(*self.sole)
+        return owner is None or (is_held and owner == self.name)
+
     async def leave(self):
         """Hand all holdings to the other members at once."""
         self.stopping = True
         self.holdings = {}
         self.changes.notify()
         try:
-            await self.client.leave(GROUP, self.name)
+            await self.client.leave(self.group, self.name)
         except StoreError as error:
             logger.info("leave failed, the membership will lapse", reason=str(error))
 
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -38,6 +38,12 @@
     return SHARED_TOPICS.get(topic, COMPACTED_PREFIX + topic)
 
 
+def product_topic(name):
+    """Return the product's topic that has ``name`` on the wire."""
+    shared = {wire: topic for topic, wire in SHARED_TOPICS.items()}
+    return shared.get(name, name.removeprefix(COMPACTED_PREFIX))
+
+
 def encode_keyed(key, value):
     """Return one keyed record; without a value it drops the key."""
     name = key.encode()
@@ -190,12 +196,23 @@
         if status != http.HTTPStatus.OK:
             raise StoreRefusedError(f"log-join refused with {status}: {content[:200]}")
         answer = _decode_json(content, "log-join")
-        names = {topic_name(topic): topic for topic in topics}
-        owned = frozenset(
-            (names[row[0]], row[1]) for row in answer["parts"] if row[0] in names
-        )
+        owned = frozenset((product_topic(row[0]), row[1]) for row in answer["parts"])
         return Membership(answer["generation"], owned)
 
+    async def owners(self, group):
+        """Return the members that hold partitions of a group, by partition."""
+        status, content = await self._call("GET", "log-owners", {"group": group})
+        if status == http.HTTPStatus.NOT_FOUND:
+            return {}
+        if status != http.HTTPStatus.OK:
+            raise StoreRefusedError(f"log-owners refused with {status}")
+        rows = _decode_json(content, "log-owners")["parts"]
+        return {
+            (product_topic(topic), number): member
+            for topic, number, member, _ in rows
+            if member
+        }
+
     async def leave(self, group, member):
         """Leave a group, so that others get its partitions at once."""
         body = msgspec.json.encode({"group": group, "member": member})
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -80,7 +80,10 @@
             self.stream_of, lambda: list(self.streams.values()), self.metrics
         )
         self.member = GroupMember.from_config(
-            self.name, (TOPIC, FLEET_TOPIC), site.store, peers.make_store()
+            self.name, TOPIC, site.store, peers.make_store()
+        )
+        self.duty_member = GroupMember.for_duty(
+            self.name, FLEET_TOPIC, site.store, peers.make_store()
         )
         self.configuration_follower = self._follower(
             peers.operator_topic, self.operator, 0.0, CONFIGURATION_WAIT_SECONDS
@@ -116,7 +119,7 @@
     def _stream_pause(self, partition):
         if self.member.epoch_of(TOPIC, partition) is not None:
             return CONTROL_PAUSE_SECONDS
-        if self.member.epoch_of(FLEET_TOPIC, 0) is not None:
+        if self.duty_member.epoch_of(FLEET_TOPIC, 0) is not None:
             return DUTY_PAUSE_SECONDS
         return WATCH_PAUSE_SECONDS
 
@@ -261,6 +264,7 @@
         task_group.start_soon(self._follow_configuration)
         task_group.start_soon(self._follow_holdings)
         if self.peers.make_hosts is not None:
+            task_group.start_soon(self.duty_member.run)
             task_group.start_soon(FleetDuty.from_config(self).run)
         logger.info("daemon started", name=self.name)
 
@@ -269,7 +273,9 @@
         self.is_stopping = True
         self._match_controllers()
         with anyio.move_on_after(1.0):
-            await self.member.leave()
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(self.member.leave)
+                task_group.start_soon(self.duty_member.leave)
 
     async def close(self):
         """Close the connections; may be called twice."""
@@ -278,6 +284,7 @@
             self.workers_follower,
             self.fleet_follower,
             self.member,
+            self.duty_member,
             *self.streams.values(),
         ):
             await part.close()
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -180,6 +180,21 @@
         held = {part for part, holder in group.held.items() if holder == member}
         return Membership(group.generation, frozenset(held))
 
+    def owners(self, name):
+        """Return who holds each partition of a group, members that lapsed left out."""
+        group, now = self.groups[name], boot_time()
+        return {
+            part: holder
+            for part, holder in group.held.items()
+            if group.members.get(holder, 0.0) >= now
+        }
+
+    def leave(self, name, member):
+        """Take a member out of a group and deal its partitions to the others."""
+        group = self.groups[name]
+        if group.members.pop(member, None) is not None:
+            self.deal(name, sorted({topic for topic, _ in group.held}))
+
     async def app(self, scope, receive, send):
         """Serve the store over HTTP as the platform's pages describe it."""
         query = urllib.parse.parse_qs(scope["query_string"].decode())
@@ -197,6 +212,12 @@
             await self._serve_newest(values, send)
         elif name == "log-join":
             await self._serve_join(msgspec.json.decode(body), send)
+        elif name == "log-owners":
+            await self._serve_owners(values, send)
+        elif name == "log-leave":
+            left = msgspec.json.decode(body)
+            self.leave(left["group"], left["member"])
+            await knobs_module.send_json(send, http.HTTPStatus.OK, {})
         else:
             await knobs_module.send_json(send, http.HTTPStatus.OK, {})
 
@@ -264,6 +285,12 @@
         await knobs_module.send_json(send, http.HTTPStatus.OK, answer)
 
 
+    async def _serve_owners(self, values, send):
+        owners = self.owners(values["group"])
+        rows = [[*part, member, 0] for part, member in sorted(owners.items())]
+        await knobs_module.send_json(send, http.HTTPStatus.OK, {"parts": rows})
+
+
 class ModelClient:
     """Speaks to a ``StoreModel``; ``cut`` refuses just this client."""
 
@@ -315,7 +342,12 @@
     async def leave(self, group, member):
         """Leave as ``StoreClient.leave`` does."""
         await self._pass()
-        self.model.groups[group].members.pop(member, None)
+        self.model.leave(group, member)
+
+    async def owners(self, group):
+        """Return who has partitions as ``StoreClient.owners`` does."""
+        await self._pass()
+        return self.model.owners(group)
 
     async def close(self):
         """Do nothing: there is no connection."""
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -36,6 +36,7 @@
     def __init__(self, fleet):
         self.fleet = fleet
         self.orders = []
+        self.is_busy = False
         self.pools = {}
 
     async def list_hosts(self):
@@ -59,6 +60,8 @@
 
     async def move(self, host, pool, epoch):
         self.orders.append((host, pool, epoch, 0))
+        if self.is_busy:
+            raise HostBusyError("leaving")
         self.pools[host.removeprefix("host-")] = pool
 
     async def close(self):
--- a/azurelanding/tests/test_membership.py
+++ b/azurelanding/tests/test_membership.py
@@ -1,12 +1,22 @@
 """Test which partitions a member holds, and under which epoch."""
 
+import anyio
 import testtools
 
 from azurelanding.membership import GroupMember
+from azurelanding.site import StoreLimits
+from azurelanding.standins.platform_store import StoreModel
 from azurelanding.store import Membership
+from azurelanding.tests.platform_world import until
 from azurelanding.utils import boot_time
 
 PART = ("jobs", 0)
+DUTY = ("fleet", 0)
+
+
+def holders(members):
+    """Return the members that hold the duty, as far as they know."""
+    return [member for member in members if member.epoch_of(*DUTY) is not None]
 
 
 class GroupMemberTest(testtools.TestCase):
@@ -14,7 +24,7 @@
 
     def setUp(self):
         super().setUp()
-        self.member = GroupMember("m", ("jobs",), None, 1.0)
+        self.member = GroupMember("m", "control", ("jobs",), None, 1.0)
 
     def give(self, generation, *parts, sent_at=None):
         """Let the member take what the store gave it."""
@@ -47,3 +57,69 @@
     def test_holding_is_not_valid_after_a_silence(self):
         self.give(3, PART, sent_at=boot_time() - 2.0)
         self.assertFalse(self.member.is_valid)
+
+
+class DutyTest(testtools.TestCase):
+    """The group of a duty that one daemon holds at a time."""
+
+    def run_members(self, scenario, count=3):
+        """Run ``scenario`` with the model of the store and ``count`` members."""
+        limits = StoreLimits("127.0.0.1:1", partitions=2)
+
+        async def main():
+            store = StoreModel(2)
+            members = [
+                GroupMember.for_duty(f"m{n}", "fleet", limits, store.client())
+                for n in range(count)
+            ]
+            async with anyio.create_task_group() as task_group:
+                for member in members:
+                    task_group.start_soon(member.run)
+                await until(lambda: holders(members))
+                await scenario(members, task_group)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_holder_stays_while_others_come_and_go(self):
+        async def scenario(members, task_group):
+            await anyio.sleep(1.0)
+            (holder,) = holders(members)
+            epoch = holder.epoch_of(*DUTY)
+            others = [member for member in members if member is not holder]
+            for member in others:
+                await member.leave()
+                member.stopping, member.name = False, f"{member.name}-again"
+                task_group.start_soon(member.run)
+                await anyio.sleep(0.5)
+            self.assertEqual([holder], holders(members))
+            self.assertEqual(epoch, holder.epoch_of(*DUTY))
+
+        self.run_members(scenario)
+
+    def test_duty_goes_to_another_when_its_holder_leaves(self):
+        async def scenario(members, task_group):
+            (holder,) = holders(members)
+            epoch = holder.epoch_of(*DUTY)
+            await holder.leave()
+            await until(lambda: holders(members))
+            (later,) = holders(members)
+            self.assertIsNot(holder, later)
+            self.assertGreater(later.epoch_of(*DUTY), epoch)
+
+        self.run_members(scenario)
+
+    def test_duty_goes_to_another_when_its_holder_is_cut_off(self):
+        async def scenario(members, task_group):
+            (holder,) = holders(members)
+            holder.client.cut = True
+            rest = [member for member in members if member is not holder]
+            await until(lambda: holders(rest), 4.0)
+            self.assertFalse(holder.is_valid)
+            (later,) = holders(rest)
+            holder.client.cut = False
+            await until(lambda: not holders([holder]))
+            await anyio.sleep(1.0)
+            self.assertEqual([later], holders(members))
+
+        self.run_members(scenario)
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -45,7 +45,7 @@
 def take_over(world):
     """Let the daemon take its pools over under a higher epoch."""
     (daemon,) = world.daemons
-    world.store.deal("control", ("jobs", "fleet"))
+    world.store.deal("control", ("jobs",))
     daemon.member.holdings.clear()
     daemon.member.changes.notify()
 
@@ -209,7 +209,7 @@
             (new,) = [d for d in world.daemons if d is not old]
             old.member.client.cut = True
             world.store.groups["control"].members.pop(old.name)
-            world.store.deal("control", ("jobs", "fleet"))
+            world.store.deal("control", ("jobs",))
             await until(lambda: new.controllers)
             await anyio.sleep(0.5)
             fences = {model.fence for model in world.fleet.models.values()}
@@ -300,6 +300,35 @@
         self.assertEqual([1] * 2, list(count_starts(world, job).values()))
 
 
+class MoveTest(testtools.TestCase):
+    """Hosts that move to a pool that needs them."""
+
+    def move(self, is_busy, seconds):
+        """Return the orders given within ``seconds`` for a pool without room."""
+        job = make_job(steps=(make_step(16, long_running=True),))
+
+        async def scenario(world):
+            world.hosts.is_busy = is_busy
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: world.hosts.orders)
+            await anyio.sleep(seconds)
+
+        world = World()
+        world.add_worker("w0")
+        world.add_worker("s0", "off")
+        world.configure(QUEUE, pools=("off",))
+        anyio.run(world.run, scenario, 1)
+        return world.hosts.orders
+
+    def test_host_comes_from_standby(self):
+        orders = self.move(False, 1.0)
+        self.assertEqual([("host-s0", "cuts")], [order[:2] for order in orders])
+
+    def test_busy_host_is_not_pressed(self):
+        self.assertEqual(2, len(self.move(True, 1.6)))
+
+
 class WaveTest(testtools.TestCase):
     """Waves of maintenance."""
 
