--- a/azurelanding/fleet_workers.py
+++ b/azurelanding/fleet_workers.py
@@ -7,7 +7,6 @@
 
 from azurelanding.tasks import Need
 
-
 REMEMBERED_ENDS = 4096
 """Ended lives that are remembered; several days' worth of restarts and repairs."""
 
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -284,7 +284,6 @@
         answer = {"generation": membership.generation, "parts": parts}
         await knobs_module.send_json(send, http.HTTPStatus.OK, answer)
 
-
     async def _serve_owners(self, values, send):
         owners = self.owners(values["group"])
         rows = [[*part, member, 0] for part, member in sorted(owners.items())]
