--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -1,7 +1,7 @@
 """Gather the changes of one decision over a ledger, before they are stored."""
 
 from azurelanding.job_records import encode_drop, encode_record
-from azurelanding.jobs import JobState
+from azurelanding.jobs import JobState, objective
 from azurelanding.ledger import JobEnded, TaskChanged
 
 
@@ -17,6 +17,7 @@
         self.copies = {}
         self.changed = {}
         self.ended = {}
+        self.objectives = {}
         self.extra = []
         self.forgotten = []
 
@@ -46,7 +47,8 @@
         self.changed[task_id] = state
 
     def end_job(self, job_id, outcome, now):
-        """End a job; its tasks are dropped."""
+        """End a job; its tasks are dropped, and with its end its steps."""
+        self.objectives[job_id] = objective(self.ledger.active[job_id].job)
         self.ended[job_id] = JobEnded(job_id, outcome, now)
 
     def forget_job(self, job_id):
--- a/azurelanding/job_placement.py
+++ b/azurelanding/job_placement.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from azurelanding.jobs import longest_chain, task_ids
+from azurelanding.jobs import longest_chain, objective, task_ids
 from azurelanding.tasks import Need
 
 LATE_FACTOR = 3.0
@@ -118,8 +118,7 @@
 
 def deadline(job, occurrence):
     """Return when an occurrence becomes late, in seconds since the epoch."""
-    objective = job.stretch * longest_chain(job) + job.target_duration
-    return job.due_at(occurrence) + objective
+    return job.due_at(occurrence) + objective(job)
 
 
 class Prospect(enum.IntEnum):
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -220,6 +220,11 @@
         yield TaskId(job_id, occurrence, number, index)
 
 
+def objective(job):
+    """Return the seconds from its due time in which an occurrence is in time."""
+    return job.stretch * longest_chain(job) + job.target_duration
+
+
 def longest_chain(job, is_done=lambda number: False):
     """Return the caller's estimate of the longest chain of steps, in seconds.
 
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -166,6 +166,7 @@
         records = draft.records()
         if records and not await self._store(records):
             return
+        self._log_ended(draft)
         for link, number in seen:
             link.acknowledge(number)
         for worker_id, order in starts:
@@ -196,6 +197,22 @@
         self.stream.apply_own(records, offset)
         return True
 
+    def _log_ended(self, draft):
+        """Log the jobs that ended, with how long they took and were to take."""
+        for record in draft.ended.values():
+            job = self.ledger.jobs[record.job].job
+            seconds = record.at - job.due_at(job.occurrences - 1)
+            logger.info(
+                "job ended",
+                job=record.job,
+                queue=job.queue,
+                outcome=record.outcome.value,
+                seconds=round(seconds, 3),
+                objective=round(draft.objectives[record.job], 3),
+            )
+            self.metrics.count(f"jobs_{record.outcome.value}")
+            self.metrics.observe("job_seconds", seconds)
+
     def _note_ends(self, draft):
         """Note the ends that workers list; return how far each was taken in."""
         seen = []
