Order hosts at once after a takeover, and before a surge has piled up

Orders went out one each 40 ms, each recorded before the next. Change: only hosts that an earlier holder may have ordered wait; the work that arrives in a second counts as demand; the orders of one look are recorded together.

--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -22,9 +22,7 @@
 
 TOPIC = "fleet"
 LOOK_SECONDS = 0.25
-"""Time between two looks while something is due."""
-IDLE_LOOK_SECONDS = 0.5
-"""Time between two looks while nothing is."""
+"""Time between two looks; a sixth of the time of a move."""
 PAUSE_SLACK_SECONDS = 0.3
 """Added to the pause between two holders, for the way of the last one's orders."""
 EMPTY_PATIENCE_SECONDS = 4.0
@@ -56,6 +54,8 @@
         self.missing_since = {}
         self.ordered = {}
         self.busy_until = {}
+        self.free_at = {}
+        self.all_free_at = 0.0
         self.told = {}
         self.sizes = pool_sizes.PoolSizes()
 
@@ -104,26 +104,42 @@
         return Appender(topic, 0, self.daemon.peers.make_store(), producer)
 
     async def _take_over(self, epoch):
-        """Refuse earlier holders at the store and let their last orders pass."""
-        await anyio.sleep(self.site.timing.holder_pause + PAUSE_SLACK_SECONDS)
+        """Refuse earlier holders at the store, and learn what they may have ordered."""
         while self._holds(epoch):
             try:
                 await self.appender.client.append(
                     TOPIC, 0, (), self.appender.producer, 0
                 )
                 await self.daemon.fleet_follower.refresh()
-                logger.info("fleet duty held", epoch=epoch)
-                return True
             except StoreError as error:
                 logger.info("fleet duty waits", reason=str(error))
                 await anyio.sleep(LOOK_SECONDS)
+            else:
+                self._note_earlier_orders()
+                logger.info("fleet duty held", epoch=epoch)
+                return True
         return False
 
+    def _note_earlier_orders(self):
+        """Note from when on each host may be ordered.
+
+        Earlier holders gave orders only to hosts with a stored plan. One whose plan
+        stands may still be ordered by them until now; one whose plan was dropped or
+        carried out was ordered at its last record at the latest.
+        """
+        pause = self.site.timing.holder_pause + PAUSE_SLACK_SECONDS
+        self.all_free_at = self.fold.loaded_at + pause
+        self.free_at = {host: at + pause for host, at in self.fold.touched.items()}
+        now = boot_time()
+        self.free_at.update((host, now + pause) for host in self.fold.pending())
+
+    def _is_free(self, host):
+        """Tell whether the orders of earlier holders for a host are long past."""
+        return boot_time() >= max(self.all_free_at, self.free_at.get(host, 0.0))
+
     async def _look_until_lost(self, epoch):
         while self._holds(epoch) and self.appender.fenced is None:
-            pause = IDLE_LOOK_SECONDS
             if self._is_due():
-                pause = LOOK_SECONDS
                 try:
                     await self._look(epoch)
                 except HostFencedError as error:
@@ -131,7 +147,7 @@
                     return
                 except (HostCallError, StoreError) as error:
                     logger.info("fleet duty interrupted", reason=str(error))
-            await anyio.sleep(pause)
+            await anyio.sleep(LOOK_SECONDS)
 
     def _open_waves(self):
         return [
@@ -169,8 +185,7 @@
             await self._plan_wave(wave, placed)
         await self._drop_stale_plans()
         await self._resize(placed)
-        for plan in self.fold.pending().values():
-            await self._carry_out(plan, placed, epoch)
+        await self._carry_out_plans(placed, epoch)
         for wave in self._open_waves():
             await self._finish_wave(wave)
 
@@ -239,8 +254,9 @@
         now = boot_time()
         gaps = self._gaps()
         self.sizes.note(gaps, now)
+        hosts = {name: h for name, h in self.hosts.items() if self._is_free(name)}
         plans = self.sizes.plan_moves(
-            gaps, self.hosts, self.fold.pending(), placed, standby, now, time.time()
+            gaps, hosts, self.fold.pending(), placed, standby, now, time.time()
         )
         self._log_plans(plans)
         await self._store([fleet_records.encode_record(plan) for plan in plans])
@@ -289,15 +305,29 @@
         }
         return away
 
-    async def _carry_out(self, plan, placed, epoch):
-        if plan.host not in self.hosts or not self._may_order(plan, placed):
-            return
-        if not self._has_turn(plan):
-            return
-        if boot_time() < self.busy_until.get(plan.host, 0.0):
-            return
+    async def _carry_out_plans(self, placed, epoch):
+        """Give the orders that are due, then record them together."""
+        ordered = []
+        try:
+            for plan in self.fold.pending().values():
+                if self._is_ready(plan, placed) and await self._order(plan, epoch):
+                    ordered.append(plan)
+        finally:
+            await self._note_ordered(ordered)
+
+    def _is_ready(self, plan, placed):
+        return (
+            plan.host in self.hosts
+            and self._is_free(plan.host)
+            and boot_time() >= self.busy_until.get(plan.host, 0.0)
+            and self._may_order(plan, placed)
+            and self._has_turn(plan)
+        )
+
+    async def _order(self, plan, epoch):
+        """Give the order for one host; return whether it was carried out."""
         if not (self._holds(epoch) and self.member.is_valid):
-            return
+            return False
         try:
             if plan.wave is not None:
                 self.ordered[plan.host, plan.wave] = boot_time()
@@ -307,19 +337,19 @@
         except HostBusyError as error:
             self.busy_until[plan.host] = boot_time() + BUSY_PAUSE_SECONDS
             logger.info("host busy", host=plan.host, reason=str(error))
-            return
-        await self._note_ordered(plan)
-
-    async def _note_ordered(self, plan):
-        """Record that the order for a host was carried out."""
+            return False
         self.daemon.metrics.count("host_orders")
         logger.info("host ordered", host=plan.host, wave=plan.wave, pool=plan.pool)
-        ordered = attrs.evolve(plan, is_ordered=True)
-        records = [fleet_records.encode_record(ordered)]
-        if plan.wave is not None:
-            known = self.fold.progress(plan.wave)
-            begun = tuple(sorted({*known.begun, plan.host}))
-            progress = WaveProgress(plan.wave, begun)
+        return True
+
+    async def _note_ordered(self, plans):
+        """Record that the orders for hosts were carried out."""
+        ordered = [attrs.evolve(plan, is_ordered=True) for plan in plans]
+        records = [fleet_records.encode_record(plan) for plan in ordered]
+        for number in sorted({plan.wave for plan in plans if plan.wave is not None}):
+            begun = {plan.host for plan in plans if plan.wave == number}
+            begun.update(self.fold.progress(number).begun)
+            progress = WaveProgress(number, tuple(sorted(begun)))
             records.append(fleet_records.encode_record(progress))
         await self._store(records)
 
--- a/azurelanding/fleet_fold.py
+++ b/azurelanding/fleet_fold.py
@@ -7,18 +7,25 @@
     WaveProgress,
     decode_record,
 )
+from azurelanding.utils import boot_time
 
 logger = structlog.get_logger()
 
 
 class FleetFold:
-    """``plans`` holds the ``HostPlan``s by host, ``waves`` the progress by number."""
+    """``plans`` holds the ``HostPlan``s by host, ``waves`` the progress by number.
+
+    ``touched`` tells when the last record of a host came, and ``loaded_at`` since when
+    all of them are seen, both in ``boot_time``.
+    """
 
     def __init__(self):
+        self.touched = {}
         self.clear()
 
     def clear(self):
-        """Forget everything."""
+        """Forget the records, to be read again from the store."""
+        self.loaded_at = boot_time()
         self.plans = {}
         self.waves = {}
 
@@ -33,6 +40,8 @@
         except FleetRecordError as error:
             logger.warning("fleet record ignored", fault=str(error))
             return
+        if kind == "host":
+            self.touched[name] = boot_time()
         if kind == "host" and decoded is None:
             self.plans.pop(name, None)
         elif kind == "host":
--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -120,6 +120,7 @@
             return
         self._take(membership, sent_at)
         if self.sole is not None and self.sole not in self.holdings:
+            self.holdings = {}
             await self.client.leave(self.group, self.name)
 
     async def _may_join(self):
--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -18,6 +18,10 @@
 """Part of a host's cores that is counted on; tasks rarely fill a host whole."""
 WORTH_HOSTS = (Prospect.LONG_RUNNING, Prospect.IN_TIME)
 """What hosts are brought for; jobs that are late anyway run in the room there is."""
+ARRIVAL_SECONDS = 1.0
+"""Time over which arriving work is counted; about a fifth of a surge."""
+ARRIVALS_COUNT = 3
+"""Jobs that must arrive in that time before their work counts as a surge."""
 SURPLUS_SECONDS = 2.5
 """How long a pool has more than it wants before it gives a host back."""
 
@@ -48,9 +52,45 @@
     return cores, spread
 
 
+def arriving_cores(states, now):
+    """Return the cores that work like that of the last moments keeps busy.
+
+    By Little's law that is the work that arrives in a second: a surge shows in it well
+    before its jobs have piled up.
+    """
+    fresh = [
+        state.job
+        for state in states
+        if not state.job.is_long_running
+        and not state.job.first_due
+        and now - state.job.submitted_at < ARRIVAL_SECONDS
+    ]
+    if len(fresh) < ARRIVALS_COUNT:
+        return 0.0
+    work = sum(
+        step.count * step.need.cores * step.estimate
+        for job in fresh
+        for step in job.steps
+        if not step.fills
+    )
+    return work / ARRIVAL_SECONDS
+
+
+def lasting_cores(states):
+    """Return the cores that long-running tasks use."""
+    return sum(
+        state.job.steps[task_id.step].need.cores
+        for state in states
+        if state.job.is_long_running and not state.is_over
+        for task_id, task in state.tasks.items()
+        if task.active and not state.job.steps[task_id.step].fills
+    )
+
+
 def hosts_wanted(states, now, host_cores, floor):
     """Return how many hosts a pool wants for its jobs."""
     cores, spread = demand(states, now)
+    cores = max(cores, lasting_cores(states) + arriving_cores(states, now))
     return max(floor, spread, math.ceil(cores / (host_cores * FULL_SHARE)))
 
 
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -82,12 +82,12 @@
 class World:
     """A store, workers and daemons in one process."""
 
-    def __init__(self, partitions=4, lease=LEASE_SECONDS):
+    def __init__(self, partitions=4, lease=LEASE_SECONDS, holder_pause=0.1):
         self.store = StoreModel(partitions)
         self.fleet = WorkerFleet()
         self.hosts = HostsModel(self.fleet)
         limits = StoreLimits("127.0.0.1:1", partitions=partitions)
-        timing = Timing(longest_lease=lease, holder_pause=0.1)
+        timing = Timing(longest_lease=lease, holder_pause=holder_pause)
         self.site = Site("e", "a", "", "", "", limits, timing=timing)
         self.daemons = []
 
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -188,6 +188,15 @@
         states = [JobState(make_job(steps=(step,)))]
         self.assertEqual(3, pool_sizes.hosts_wanted(states, 5.0, 100.0, 1))
 
+    def test_surge_is_seen_before_its_jobs_pile_up(self):
+        steps = (make_step(4, need=Need(4.0, 1, 0), estimate=0.5),) * 2
+        jobs = [make_job(f"{n}" * 16, steps=steps) for n in range(3)]
+        states = [JobState(job) for job in jobs]
+        self.assertEqual(48.0, pool_sizes.arriving_cores(states, 1.5))
+        self.assertEqual(6, pool_sizes.hosts_wanted(states[:3], 1.5, 10.0, 1))
+        self.assertEqual(0.0, pool_sizes.arriving_cores(states, 2.5))
+        self.assertEqual(0.0, pool_sizes.arriving_cores(states[:2], 1.5))
+
 
 class LevelsTest(testtools.TestCase):
     """Filling tasks beside tasks with a target."""
