--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -55,7 +55,6 @@
         self.ordered = {}
         self.busy_until = {}
         self.free_at = {}
-        self.all_free_at = 0.0
         self.told = {}
         self.sizes = pool_sizes.PoolSizes()
 
@@ -128,14 +127,13 @@
         carried out was ordered at its last record at the latest.
         """
         pause = self.site.timing.holder_pause + PAUSE_SLACK_SECONDS
-        self.all_free_at = self.fold.loaded_at + pause
         self.free_at = {host: at + pause for host, at in self.fold.touched.items()}
         now = boot_time()
         self.free_at.update((host, now + pause) for host in self.fold.pending())
 
     def _is_free(self, host):
         """Tell whether the orders of earlier holders for a host are long past."""
-        return boot_time() >= max(self.all_free_at, self.free_at.get(host, 0.0))
+        return boot_time() >= self.free_at.get(host, 0.0)
 
     async def _look_until_lost(self, epoch):
         while self._holds(epoch) and self.appender.fenced is None:
@@ -232,14 +230,16 @@
     async def _drop_stale_plans(self):
         """Drop the plans whose worker has ended or whose host is gone."""
         stale = [
-            plan.host
+            plan
             for plan in self.fold.pending().values()
             if plan.host not in self.hosts
             or self.hosts[plan.host].worker != plan.worker
             or self.hosts[plan.host].phase is not HostPhase.UP
             or self._is_overdue(plan)
         ]
-        await self._store([fleet_records.encode_drop(host) for host in stale])
+        now = time.time()
+        dropped = [attrs.evolve(plan, is_dropped=True, closed_at=now) for plan in stale]
+        await self._store([fleet_records.encode_record(plan) for plan in dropped])
 
     def _is_overdue(self, plan):
         """Tell whether a host was to move but did not get empty in time."""
@@ -344,7 +344,8 @@
 
     async def _note_ordered(self, plans):
         """Record that the orders for hosts were carried out."""
-        ordered = [attrs.evolve(plan, is_ordered=True) for plan in plans]
+        now = time.time()
+        ordered = [attrs.evolve(p, is_ordered=True, closed_at=now) for p in plans]
         records = [fleet_records.encode_record(plan) for plan in ordered]
         for number in sorted({plan.wave for plan in plans if plan.wave is not None}):
             begun = {plan.host for plan in plans if plan.wave == number}
--- a/azurelanding/fleet_fold.py
+++ b/azurelanding/fleet_fold.py
@@ -1,5 +1,7 @@
 """Fold the fleet's stream: which hosts are to be emptied, and how far waves are."""
 
+import time
+
 import structlog
 
 from azurelanding.fleet_records import (
@@ -7,7 +9,7 @@
     WaveProgress,
     decode_record,
 )
-from azurelanding.utils import boot_time
+from azurelanding.utils import CLOCK_STEP_SECONDS, boot_time
 
 logger = structlog.get_logger()
 
@@ -15,8 +17,8 @@
 class FleetFold:
     """``plans`` holds the ``HostPlan``s by host, ``waves`` the progress by number.
 
-    ``touched`` tells when the last record of a host came, and ``loaded_at`` since when
-    all of them are seen, both in ``boot_time``.
+    ``touched`` tells, in ``boot_time``, when a host may last have been ordered by its
+    last record.
     """
 
     def __init__(self):
@@ -25,7 +27,6 @@
 
     def clear(self):
         """Forget the records, to be read again from the store."""
-        self.loaded_at = boot_time()
         self.plans = {}
         self.waves = {}
 
@@ -41,14 +42,19 @@
             logger.warning("fleet record ignored", fault=str(error))
             return
         if kind == "host":
-            self.touched[name] = boot_time()
-        if kind == "host" and decoded is None:
-            self.plans.pop(name, None)
-        elif kind == "host":
-            self.plans[name] = decoded
+            self._note_plan(name, decoded)
         elif decoded is not None:
             self.waves[decoded.wave] = decoded
 
+    def _note_plan(self, host, plan):
+        if plan is None or plan.is_dropped:
+            self.plans.pop(host, None)
+        else:
+            self.plans[host] = plan
+        noted_at = max(plan.made_at, plan.closed_at) if plan else time.time()
+        age = max(0.0, time.time() - noted_at - CLOCK_STEP_SECONDS)
+        self.touched[host] = boot_time() - age
+
     def progress(self, wave):
         """Return the ``WaveProgress`` of a wave."""
         return self.waves.get(wave, WaveProgress(wave))
--- a/azurelanding/fleet_records.py
+++ b/azurelanding/fleet_records.py
@@ -10,7 +10,9 @@
 
     ``worker`` is the life of the host that the plan is about. ``wave`` is the number
     of the wave for a maintenance, ``pool`` the new pool for a move. ``made_at`` is
-    in seconds since the epoch. Once ``is_ordered`` that life is over.
+    in seconds since the epoch. Once ``is_ordered`` that life is over. A plan that
+    ``is_dropped`` stays as a record of when the host may last have been ordered:
+    ``closed_at``, in seconds since the epoch, is when it was ordered or dropped.
     """
 
     host: str
@@ -19,6 +21,8 @@
     wave: int | None = None
     pool: str = ""
     is_ordered: bool = False
+    is_dropped: bool = False
+    closed_at: float = 0.0
 
 
 @attrs.frozen
@@ -44,11 +48,6 @@
     return f"wave/{record.wave}", msgspec.json.encode(record)
 
 
-def encode_drop(host):
-    """Return the key and the missing value that drop the plan for ``host``."""
-    return f"host/{host}", None
-
-
 def decode_record(key, value):
     """Return the kind, the name and the record, ``None`` for a dropped key.
 
--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -1,25 +1,9 @@
 """Decide what follows when a run of a task has ended."""
 
-import math
-
 from azurelanding.jobs import JobOutcome, RunEnd, task_ids
 
 REMEMBERED_WORKERS = 4
 """Workers where a task failed that are kept in its record; enough to avoid them."""
-STUCK_FACTOR = 3.0
-"""Times a task's estimate, off by a factor of two and a half at most, after which a
-run is taken to stand still; doubled with each further run of the task."""
-STUCK_SLACK_SECONDS = 1.0
-"""Added to that, for the start of a run and for short tasks."""
-
-
-def longest_run(state, task_id):
-    """Return the seconds after which a run of a task is taken to stand still."""
-    step = state.job.steps[task_id.step]
-    if step.long_running or not step.estimate:
-        return math.inf
-    patience = STUCK_FACTOR * step.estimate + STUCK_SLACK_SECONDS
-    return patience * 2 ** (state.task(task_id).last_run - 1)
 
 
 def _without_run(task, run):
--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -7,6 +7,7 @@
 often the others come and go.
 """
 
+import random
 import zlib
 
 import anyio
@@ -21,6 +22,9 @@
 DUTY_GROUP = "fleet-duty"
 JOIN_SECONDS = 0.4
 """Time between two joins; a third of the silence, so that one may be lost."""
+SPREAD_SECONDS = 0.3
+"""Over which daemons that miss the holder of a duty spread their joins: a join takes a
+hundredth of it, so that two seldom meet."""
 SILENCE_SECONDS = 1.4
 """Silence after which the store gives the partitions to others."""
 
@@ -132,11 +136,17 @@
         is_held = self.sole in self.holdings
         if is_held and self.is_valid:
             return True
-        owner = (await self.client.owners(self.group)).get(self.sole)
+        owner = await self._owner()
+        if owner is None and not is_held:
+            await anyio.sleep(random.uniform(0.0, SPREAD_SECONDS))
+            owner = await self._owner()
         if is_held and owner not in (None, self.name):
             self.give_up(*self.sole)
         return owner is None or (is_held and owner == self.name)
 
+    async def _owner(self):
+        return (await self.client.owners(self.group)).get(self.sole)
+
     async def leave(self):
         """Hand all holdings to the other members at once."""
         self.stopping = True
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -10,7 +10,13 @@
 import anyio
 import structlog
 
-from azurelanding import evacuation, job_ends, job_placement, leveling
+from azurelanding import (
+    evacuation,
+    job_ends,
+    job_placement,
+    leveling,
+    run_progress,
+)
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.job_draft import JobDraft
@@ -19,7 +25,7 @@
 from azurelanding.pool_links import PoolLinks
 from azurelanding.pool_stream import TOPIC
 from azurelanding.store import Producer, StoreError, StoreFencedError
-from azurelanding.utils import Notifier, boot_time
+from azurelanding.utils import CLOCK_STEP_SECONDS, Notifier, boot_time
 from azurelanding.worker_calls import Refusal, StartOrder, StopOrder
 from azurelanding.worker_health import WorkerHealths
 from azurelanding.worker_link import TAKEOVER_SLACK_SECONDS
@@ -39,8 +45,6 @@
 """Time between two looks for jobs whose retention is over, and its slack for clocks."""
 FULL_PAUSE_SECONDS = 0.4
 """How long a worker that refused for want of room gets no start."""
-CLOCK_STEP_SECONDS = 4.0
-"""How far the time of day of two daemons may differ: each jumps by two seconds."""
 TASK_PAUSE_SECONDS = 0.5
 """How long a task rests after a start that was refused."""
 
@@ -420,16 +424,15 @@
                     self._stop(worker_id, task_id, run, "unknown run")
 
     def _stop_stuck(self):
-        """Stop runs that take far longer than they should, to run elsewhere."""
+        """Stop runs that stand still or are far slower than others."""
         now = boot_time()
+        times = run_progress.step_times(self.links.values())
         for worker_id, link in self.links.items():
-            for (task_id, run), since in list(link.runs.items()):
-                state = self.ledger.active.get(task_id.job)
-                if since is None or state is None or (task_id, run) in link.stops:
-                    continue
-                if now > since + job_ends.longest_run(state, task_id):
+            moves = run_progress.runs_to_move(link, self.ledger, times, now)
+            for task_id, run, reason in moves:
+                if (task_id, run) not in link.stops:
                     self.healths.note_failed(worker_id, task_id.job, now)
-                    self._stop(worker_id, task_id, run, "stands still")
+                self._stop(worker_id, task_id, run, reason)
 
     def _stop(self, worker_id, task_id, run, reason):
         """Order a stop, and again if the run is still listed a while later."""
--- /dev/null
+++ b/azurelanding/tests/test_run_progress.py
@@ -0,0 +1,69 @@
+"""Test which runs are taken to stand still or to be slow."""
+
+import testtools
+
+from azurelanding import run_progress
+from azurelanding.jobs import TaskId
+from azurelanding.run_progress import RunProgress
+from azurelanding.standins.platform_worker import WorkerModel
+from azurelanding.tests.platform_world import make_job, make_step
+from azurelanding.tests.test_fleet_choices import make_ledger
+from azurelanding.utils import boot_time
+from azurelanding.worker_link import WorkerLink
+
+
+def make_link(name, progress):
+    """Return a link that has just heard of runs with this progress."""
+    entry = WorkerModel(name, "cuts").entry()
+    link = WorkerLink(entry, lambda e: None, 6, None, None)
+    link.heard_at, link.progress = boot_time(), progress
+    link.runs = dict.fromkeys(progress, boot_time())
+    return link
+
+
+class RunsToMoveTest(testtools.TestCase):
+    """Runs of a step of two tasks, one on each of two workers."""
+
+    def moved(self, first, second, **fields):
+        """Return the index and the reason of each run that is moved.
+
+        ``first`` and ``second`` are pairs of the seconds that a run has taken and of
+        the share of its work that it has done, as of now.
+        """
+        job = make_job(steps=(make_step(2, **{"estimate": 1.0, **fields}),))
+        ledger, now = make_ledger(job, ["v", "w"]), boot_time()
+        links = []
+        for index, (seconds, share, *still) in enumerate((first, second)):
+            risen_at = now - (still[0] if still else 0.0)
+            progress = RunProgress(now - seconds, risen_at, 0.0, share)
+            key = (TaskId(job.id, 0, 0, index), 1)
+            links.append(make_link("vw"[index], {key: progress}))
+        times = run_progress.step_times(links)
+        return [
+            (task.index, reason)
+            for link in links
+            for task, _, reason in run_progress.runs_to_move(link, ledger, times, now)
+        ]
+
+    def test_run_that_makes_progress_is_left_alone(self):
+        self.assertEqual([], self.moved((4.0, 0.9), (4.0, 0.8)))
+
+    def test_run_without_progress_stands_still(self):
+        found = self.moved((3.0, 0.3, 2.5), (3.0, 0.9))
+        self.assertEqual([(0, "stands still")], found)
+
+    def test_run_far_slower_than_the_others_is_slow(self):
+        self.assertEqual([(0, "slow")], self.moved((1.0, 0.1), (1.0, 0.8)))
+
+    def test_run_at_half_the_pace_is_left_alone(self):
+        self.assertEqual([], self.moved((1.0, 0.4), (1.0, 0.8)))
+
+    def test_run_far_over_its_estimate_is_slow(self):
+        self.assertEqual(2, len(self.moved((1.0, 0.06), (1.0, 0.06), estimate=0.5)))
+
+    def test_pace_is_unknown_at_first(self):
+        self.assertEqual([], self.moved((0.3, 0.01), (1.0, 0.8)))
+
+    def test_lasting_filling_and_waiting_tasks_are_not_judged(self):
+        for fields in ({"long_running": True}, {"fills": True}, {"gang": True}):
+            self.assertEqual([], self.moved((4.0, 0.0, 4.0), (4.0, 0.9), **fields))
--- a/azurelanding/utils.py
+++ b/azurelanding/utils.py
@@ -4,6 +4,9 @@
 
 import anyio
 
+CLOCK_STEP_SECONDS = 4.0
+"""How far the time of day of two daemons may differ: each jumps by two seconds."""
+
 
 def boot_time():
     """Return seconds that also count while the host is suspended."""
--- a/azurelanding/worker_calls.py
+++ b/azurelanding/worker_calls.py
@@ -51,7 +51,8 @@
 class ListedRun:
     """A run that a worker lists as under way.
 
-    ``at_work`` is the share of its pace at which it works, from 0 to 1. ``figure``
+    ``at_work`` is the share of its work that is done for a task that comes to an end,
+    and the share of its pace at which it works for any other. ``figure``
     is the tail of its response times in milliseconds for a task with such a target,
     and the cores in use, in thousandths, for any other.
     """
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -11,6 +11,7 @@
 import anyio
 import structlog
 
+from azurelanding.run_progress import RunProgress
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import (
     PaceOrder,
@@ -48,10 +49,10 @@
     ``runs`` maps each run that may be there to the time from which the worker's
     reports count for it, ``None`` while its start is unanswered. ``listed`` holds
     what the last report listed as under way, ``at_work_since`` since when each of
-    those is seen at work, ``ends`` the ends not yet recorded by
-    their number. ``not_started`` collects runs that surely never began and why.
-    ``leased_until`` is the ``boot_time`` after which nothing runs there without a
-    further call. ``is_sure`` tells that the worker has answered under this epoch.
+    those is seen at work, ``progress`` how far each has come, ``ends`` the ends not
+    yet recorded by their number. ``not_started`` collects runs that surely never
+    began and why. ``leased_until`` is the ``boot_time`` after which nothing runs there
+    without a further call. ``is_sure`` tells that the worker has answered under this epoch.
     """
 
     def __init__(self, entry, make_client, lease, notify, is_startable):
@@ -64,6 +65,7 @@
         self.runs = {}
         self.listed = {}
         self.at_work_since = {}
+        self.progress = {}
         self.ends = {}
         self.seen = 0
         self.born = entry.born
@@ -182,8 +184,14 @@
             self.notify()
 
     def _note_work(self):
-        """Note since when each run is seen at work without a break."""
+        """Note how far each run has come, and since when it works without a break."""
         known, now = self.at_work_since, boot_time()
+        for key in self.progress.keys() - self.listed.keys():
+            del self.progress[key]
+        for key, run in self.listed.items():
+            if key not in self.progress:
+                self.progress[key] = RunProgress.begin(run.at_work, now)
+            self.progress[key].note(run.at_work, now)
         self.at_work_since = {
             key: known.get(key, now)
             for key, run in self.listed.items()
