--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -52,7 +52,8 @@
     those is seen at work, ``progress`` how far each has come, ``ends`` the ends not
     yet recorded by their number. ``not_started`` collects runs that surely never
     began and why. ``leased_until`` is the ``boot_time`` after which nothing runs there
-    without a further call. ``is_sure`` tells that the worker has answered under this epoch.
+    without a further call. ``is_sure`` tells that the worker has answered under this
+    epoch.
     """
 
     def __init__(self, entry, make_client, lease, notify, is_startable):
