Take a daemon's earlier life out of the groups when it starts

A daemon that starts knows that its earlier lives are over. Change: it takes them out of both groups first, so that control moves at once.

--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -34,6 +34,16 @@
     return zlib.crc32(name.encode()) % partitions
 
 
+def member_name(daemon, incarnation):
+    """Return the name under which one life of a daemon is a member."""
+    return f"{daemon}-{incarnation}"
+
+
+def daemon_of(name):
+    """Return the daemon of which a member is one life."""
+    return name.rpartition("-")[0]
+
+
 class GroupMember:
     """This daemon's part in a group; ``holdings`` maps partitions to epochs.
 
@@ -105,13 +115,28 @@
 
     async def run(self):
         """Stay in the group until cancelled."""
+        is_only_life = False
         while not self.stopping:
             try:
+                if not is_only_life:
+                    await self._end_earlier_lives()
+                    is_only_life = True
                 await self._stay()
             except StoreError as error:
                 logger.info("join failed", group=self.group, reason=str(error))
             await anyio.sleep(JOIN_SECONDS)
 
+    async def _end_earlier_lives(self):
+        """Take earlier lives of this daemon, which are over, out of the group.
+
+        Their partitions then go to others at once, not only after a silence.
+        """
+        owners = await self.client.owners(self.group)
+        for name in sorted(set(owners.values()) - {self.name}):
+            if daemon_of(name) == daemon_of(self.name):
+                await self.client.leave(self.group, name)
+                logger.info("earlier life ended", group=self.group, name=name)
+
     async def _stay(self):
         """Join the group, or stay in it, unless another holds what is sought."""
         if self.sole is not None and not await self._may_join():
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -9,7 +9,7 @@
 from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_workers import WorkerRegistry
 from azurelanding.job_service import JobService
-from azurelanding.membership import GroupMember, partition_of
+from azurelanding.membership import GroupMember, member_name, partition_of
 from azurelanding.pool_control import ControlLostError, PoolController
 from azurelanding.pool_stream import TOPIC, PoolStream
 from azurelanding.served_metrics import ServedMetrics
@@ -65,7 +65,7 @@
     def __init__(self, site, peers, incarnation):
         self.site = site
         self.peers = peers
-        self.name = f"{site.name}-{incarnation}"
+        self.name = member_name(site.name, incarnation)
         self.metrics = ServedMetrics()
         self.registry = WorkerRegistry()
         self.operator = OperatorFold(peers.decode_operator)
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -1,6 +1,7 @@
 """Build small sites on models of the platform for tests."""
 
 import anyio
+import attrs
 
 from azurelanding.configuration import Configuration, Pool, Queue
 from azurelanding.fleet_workers import HostEntry, HostPhase
@@ -124,7 +125,8 @@
         )
 
     def daemon(self, name):
-        daemon = SiteDaemon(self.site, self._peers(), name)
+        site = attrs.evolve(self.site, name=name)
+        daemon = SiteDaemon(site, self._peers(), "1")
         self.daemons.append(daemon)
         return daemon
 
--- a/azurelanding/tests/test_membership.py
+++ b/azurelanding/tests/test_membership.py
@@ -59,6 +59,30 @@
         self.assertFalse(self.member.is_valid)
 
 
+class EarlierLifeTest(testtools.TestCase):
+    """A daemon that was killed and has started again."""
+
+    def test_partitions_of_an_earlier_life_are_dealt_at_once(self):
+        limits = StoreLimits("127.0.0.1:1", partitions=2)
+
+        async def main():
+            store = StoreModel(2)
+            for name in ("edge-1-dead", "edge-2-alive", "edge-1-2-alive"):
+                store.join("control", name, ("jobs",), 60.0)
+            client = store.client()
+            member = GroupMember.from_config("edge-1-new", "jobs", limits, client)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(member.run)
+                with anyio.fail_after(1.0):
+                    while "edge-1-new" not in store.groups["control"].members:  # noqa: ASYNC110
+                        await anyio.sleep(0.01)
+                task_group.cancel_scope.cancel()
+            return set(store.groups["control"].members)
+
+        members = {"edge-1-new", "edge-2-alive", "edge-1-2-alive"}
+        self.assertEqual(members, anyio.run(main))
+
+
 class DutyTest(testtools.TestCase):
     """The group of a duty that one daemon holds at a time."""
 
