Repeat a join whose answer is lost before the membership lapses

Cause, by reading: a join without an answer was waited for 1.2 s, and with the pause after it the next came after the silence of 1.4 s; each lost answer cost a daemon its pools. Change: a join is given up after 0.5 s and repeated after 0.3 s; the silence is 1.2 s. The new test failed before.

--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -20,12 +20,13 @@
 
 CONTROL_GROUP = "control"
 DUTY_GROUP = "fleet-duty"
-JOIN_SECONDS = 0.4
-"""Time between two joins; a third of the silence, so that one may be lost."""
+JOIN_SECONDS = 0.3
+"""Time between two joins; a quarter of the silence, so that one may be lost and its
+time-out of half a second waited for."""
 SPREAD_SECONDS = 0.3
 """Over which daemons that miss the holder of a duty spread their joins: a join takes a
 hundredth of it, so that two seldom meet."""
-SILENCE_SECONDS = 1.4
+SILENCE_SECONDS = 1.2
 """Silence after which the store gives the partitions to others."""
 
 
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -24,6 +24,9 @@
 COMPACTED_PREFIX = "keyed."
 CALL_TIMEOUT_SECONDS = 1.2
 """Bounds a call; over the slowest answers of a store at 60 times its usual 4 ms."""
+JOIN_TIMEOUT_SECONDS = 0.5
+"""Bounds a join; under half of the shortest membership that is asked for, so that one
+whose answer is lost can be repeated in time."""
 SHARED_TOPICS = {
     "operator": "keyed.op",
     "workers": "keyed.servers",
@@ -88,15 +91,13 @@
         """Return a client of the store that ``limits`` name."""
         return cls(HttpClient(limits.address, CALL_TIMEOUT_SECONDS))
 
-    async def _call(self, method, name, query, body=b"", wait=0.0):
+    async def _call(self, method, name, query, body=b"", timeout=CALL_TIMEOUT_SECONDS):
         target = (
             f"/v1/{name}?{urllib.parse.urlencode(query)}" if query else f"/v1/{name}"
         )
         headers = (("Content-Type", "application/json"),) if body else ()
         try:
-            return await self.connection.request(
-                method, target, body, headers, timeout=CALL_TIMEOUT_SECONDS + wait
-            )
+            return await self.connection.request(method, target, body, headers, timeout)
         except HttpClientError as error:
             lost = StoreSilentError if error.sent else StoreRefusedError
             raise lost(f"{name}: {error}") from error
@@ -141,7 +142,8 @@
             "from": start,
             "waitMs": int(wait * 1000),
         }
-        status, content = await self._call("GET", "log-read", query, wait=wait)
+        timeout = CALL_TIMEOUT_SECONDS + wait
+        status, content = await self._call("GET", "log-read", query, timeout=timeout)
         if status == http.HTTPStatus.GONE:
             first = _decode_json(content, "log-read").get("first", start)
             raise HistoryLostError(f"{topic} before {first} is gone", first)
@@ -192,7 +194,9 @@
                 "generation": generation,
             }
         )
-        status, content = await self._call("POST", "log-join", {}, body)
+        status, content = await self._call(
+            "POST", "log-join", {}, body, JOIN_TIMEOUT_SECONDS
+        )
         if status != http.HTTPStatus.OK:
             raise StoreRefusedError(f"log-join refused with {status}: {content[:200]}")
         answer = _decode_json(content, "log-join")
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -43,12 +43,14 @@
 
     ``refuse`` answers everything with a refusal. ``lose_answers`` counts appends
     that are carried out without an answer, ``late_appends`` those that are carried
-    out only with ``StoreModel.release``.
+    out only with ``StoreModel.release``. Each second join that is carried out gets no
+    answer for ``join_silence`` seconds, if that is not 0.
     """
 
     refuse: bool = False
     lose_answers: int = 0
     late_appends: int = 0
+    join_silence: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -296,6 +298,7 @@
     def __init__(self, model):
         self.model = model
         self.cut = False
+        self.join_count = 0
 
     async def _pass(self):
         await anyio.lowlevel.checkpoint()
@@ -336,7 +339,12 @@
     async def join(self, group, member, topics, generation, silence):
         """Join as ``StoreClient.join`` does."""
         await self._pass()
-        return self.model.join(group, member, topics, silence)
+        membership = self.model.join(group, member, topics, silence)
+        self.join_count += 1
+        if self.model.knobs.join_silence and self.join_count % 2:
+            await anyio.sleep(self.model.knobs.join_silence)
+            raise StoreSilentError("no answer")
+        return membership
 
     async def leave(self, group, member):
         """Leave as ``StoreClient.leave`` does."""
--- a/azurelanding/tests/test_membership.py
+++ b/azurelanding/tests/test_membership.py
@@ -4,6 +4,7 @@
 import testtools
 
 from azurelanding.membership import GroupMember
+from azurelanding.platform.store import JOIN_TIMEOUT_SECONDS
 from azurelanding.site import StoreLimits
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.store import Membership
@@ -121,6 +122,19 @@
 
         self.run_members(scenario)
 
+    def test_lost_answers_do_not_end_the_membership(self):
+        async def scenario(members, task_group):
+            await anyio.sleep(1.0)
+            (holder,) = holders(members)
+            epoch = holder.epoch_of(*DUTY)
+            knobs = holder.client.model.knobs
+            knobs.join_silence = JOIN_TIMEOUT_SECONDS
+            await anyio.sleep(4.0)
+            self.assertEqual([holder], holders(members))
+            self.assertEqual(epoch, holder.epoch_of(*DUTY))
+
+        self.run_members(scenario)
+
     def test_duty_goes_to_another_when_its_holder_leaves(self):
         async def scenario(members, task_group):
             (holder,) = holders(members)
