--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -179,10 +179,11 @@
         """Look at the hosts once, plan what is to be emptied, order what is empty."""
         self.hosts = await self.client.list_hosts()
         placed = self.daemon.placed()
-        for wave in self._open_waves():
-            await self._plan_wave(wave, placed)
         await self._drop_stale_plans()
+        # Demand takes its hosts before a wave does, which has time.
         await self._resize(placed)
+        for wave in self._open_waves():
+            await self._plan_wave(wave, placed)
         await self._carry_out_plans(placed, epoch)
         for wave in self._open_waves():
             await self._finish_wave(wave)
