Check settings and show the state of a site on the platform from the command line

Operators had no way to see who controls a pool, or why a job waits, but the daemons' logs. site-check and site-status read what the daemons read, the settings and the store.

--- a/azurelanding/main.py
+++ b/azurelanding/main.py
@@ -14,6 +14,7 @@
 from azurelanding.operators import (
     host_commands,
     rule_commands,
+    site_commands,
     status_commands,
     task_commands,
     wave_commands,
@@ -30,6 +31,7 @@
     *status_commands.COMMANDS,
     *host_commands.COMMANDS,
     *wave_commands.COMMANDS,
+    *site_commands.COMMANDS,
     *task_commands.COMMANDS,
 )
 
--- /dev/null
+++ b/azurelanding/site_report.py
@@ -0,0 +1,150 @@
+"""Report what the store says of the site: who controls what, and why jobs wait."""
+
+import attrs
+
+from azurelanding import pool_stream
+from azurelanding.fleet_duty import TOPIC as FLEET_TOPIC
+from azurelanding.fleet_fold import FleetFold
+from azurelanding.fleet_workers import WorkerRegistry
+from azurelanding.job_placement import ready_steps
+from azurelanding.ledger import Ledger
+from azurelanding.membership import CONTROL_GROUP, DUTY_GROUP, partition_of
+from azurelanding.site_state import OperatorFold, WorkersFold
+from azurelanding.topic_follower import TopicFollower
+
+
+@attrs.frozen
+class SiteState:
+    """All that the store says, as of one reading.
+
+    ``ledgers`` are by partition; ``owners`` maps a topic and a partition to the daemon
+    that controls it.
+    """
+
+    configuration: object
+    waves: dict
+    fleet: object
+    registry: object
+    ledgers: dict
+    owners: dict
+
+
+@attrs.frozen
+class PoolLine:
+    """One pool: its controller, workers, and jobs that have not ended."""
+
+    name: str
+    controller: str | None
+    workers: int
+    runs: int
+    jobs: int
+    waiting: int
+
+
+@attrs.frozen
+class JobLine:
+    """One job, how far it is, and what it waits for."""
+
+    id: str
+    queue: str
+    pool: str
+    phase: str
+    done: int
+    tasks: int
+    running: dict
+    waits_for: str
+
+
+async def _load(topic, partition, make_store, fold):
+    follower = TopicFollower(topic, partition, make_store, fold, lambda: 0.0, 0.0)
+    try:
+        await follower.refresh()
+    finally:
+        await follower.close()
+
+
+async def read_site(site, peers):
+    """Return the ``SiteState``; raise ``StoreError`` when the store can't be read."""
+    operator = OperatorFold(peers.decode_operator)
+    fleet, registry = FleetFold(), WorkerRegistry()
+    workers = WorkersFold(peers.decode_worker, registry)
+    await _load(peers.operator_topic, 0, peers.make_store, operator)
+    await _load(peers.workers_topic, 0, peers.make_store, workers)
+    await _load(FLEET_TOPIC, 0, peers.make_store, fleet)
+    ledgers = {}
+    for partition in range(site.store.partitions):
+        ledger = ledgers[partition] = Ledger()
+        fold = pool_stream.LedgerFold(ledger)
+        await _load(pool_stream.TOPIC, partition, peers.make_store, fold)
+    client = peers.make_store()
+    try:
+        owners = await client.owners(CONTROL_GROUP)
+        owners.update(await client.owners(DUTY_GROUP))
+    finally:
+        await client.close()
+    return SiteState(
+        operator.configuration, operator.waves, fleet, registry, ledgers, owners
+    )
+
+
+def _controller(state, pool):
+    partition = partition_of(pool, len(state.ledgers))
+    return state.owners.get((pool_stream.TOPIC, partition))
+
+
+def report_pools(state):
+    """Return a ``PoolLine`` for each pool of the configuration, by name."""
+    lines = []
+    for pool in sorted(state.configuration.pools):
+        ledger = state.ledgers[partition_of(pool, len(state.ledgers))]
+        jobs = [job for job in ledger.active.values() if job.job.pool == pool]
+        lines.append(
+            PoolLine(
+                pool,
+                _controller(state, pool),
+                len(state.registry.in_pool(pool)),
+                sum(len(task.active) for job in jobs for task in job.tasks.values()),
+                len(jobs),
+                sum(not job.tasks and not job.is_over for job in jobs),
+            )
+        )
+    return lines
+
+
+def _what_for(state, job, now):
+    """Return what a job waits for, empty if for nothing."""
+    if job.outcome is not None:
+        return ""
+    if _controller(state, job.job.pool) is None:
+        return "no daemon controls its pool"
+    if job.is_over:
+        return "its last runs to end"
+    if job.job.due_at(0) > now:
+        return f"its time, in {job.job.due_at(0) - now:.1f} s"
+    ready = sum(len(step.tasks) for step in ready_steps(job, now, lambda task: False))
+    return f"room for {ready} tasks" if ready else ""
+
+
+def report_job(state, job_id, now):
+    """Return the ``JobLine`` of a job at ``now``, ``None`` if the store has none."""
+    for ledger in state.ledgers.values():
+        job = ledger.jobs.get(job_id)
+        if job is None:
+            continue
+        running = {
+            str(task_id): worker
+            for task_id, task in job.tasks.items()
+            for worker in task.active.values()
+        }
+        total = sum(step.count for step in job.job.steps) * job.job.occurrences
+        return JobLine(
+            job_id,
+            job.job.queue,
+            job.job.pool,
+            job.phase.value,
+            sum(job.done.values()),
+            total,
+            running,
+            _what_for(state, job, now),
+        )
+    return None
--- a/azurelanding/tests/test_docs.py
+++ b/azurelanding/tests/test_docs.py
@@ -50,7 +50,8 @@
     def test_each_command_and_exit_code_is_on_the_operators_page(self):
         page = read_page("OPERATORS.md")
         told = {name.split()[0] for name in first_cells(page)}
-        self.assertEqual({command.__name__ for command in COMMANDS}, told)
+        names = {command.__name__.replace("_", "-") for command in COMMANDS}
+        self.assertEqual(names, told)
         codes = re.findall(r"^\| (\d+) \|", page, re.MULTILINE)
         self.assertEqual([int(code) for code in ExitCode], [int(c) for c in codes])
 
--- /dev/null
+++ b/azurelanding/tests/test_site_report.py
@@ -0,0 +1,135 @@
+"""Test what is reported of a site from its store, and the commands that print it."""
+
+import pathlib
+import tempfile
+import time
+
+import anyio
+import msgspec
+import testtools
+
+from azurelanding import site_report
+from azurelanding.http_server import HttpServer
+from azurelanding.jobs import JobPhase
+from azurelanding.operators.command_line import ExitCode
+from azurelanding.standins.platform_store import StoreModel
+from azurelanding.tests.platform_world import (
+    World,
+    make_job,
+    make_queue,
+    make_step,
+    until,
+)
+from azurelanding.tests.test_commands import run_command
+from azurelanding.tests.test_platform_process import CONFIGURATION, make_boot
+
+QUEUE = make_queue()
+
+
+class SiteReportTest(testtools.TestCase):
+    """The report of a site whose daemons run."""
+
+    def report(self, job, room_for_all, seconds=0.0):
+        """Return the lines of the pool and of ``job``, run on one worker."""
+        found = []
+
+        async def scenario(world):
+            (daemon,) = world.daemons
+            world.fleet.long_running.add(job.id)
+            await daemon.service.submit(job, 5.0)
+            begun = daemon.stream_of("cuts").ledger.placed
+            await until(lambda: bool(begun) == room_for_all)
+            await until(lambda: daemon.controllers)
+            await anyio.sleep(0.3)
+            state = await site_report.read_site(world.site, world._peers())
+            found.extend(site_report.report_pools(state))
+            found.append(site_report.report_job(state, job.id, time.time()))
+            found.append(site_report.report_job(state, "f" * 16, time.time()))
+
+        world = World()
+        world.add_worker("w0")
+        world.configure(QUEUE)
+        anyio.run(world.run, scenario, 1)
+        return found
+
+    def test_running_job_names_its_workers(self):
+        job = make_job(steps=(make_step(2, long_running=True),))
+        pool, line, unknown = self.report(job, True)
+        self.assertEqual(("cuts", "d0-1"), (pool.name, pool.controller))
+        counts = (pool.workers, pool.runs, pool.jobs, pool.waiting)
+        self.assertEqual((1, 2, 1, 0), counts)
+        self.assertEqual(JobPhase.RUNNING.value, line.phase)
+        self.assertEqual(["w0", "w0"], list(line.running.values()))
+        self.assertEqual("", line.waits_for)
+        self.assertIsNone(unknown)
+
+    def test_job_without_room_says_so(self):
+        job = make_job(steps=(make_step(3, label="gpu"),))
+        pool, line, _ = self.report(job, False)
+        self.assertEqual((1, 1), (pool.jobs, pool.waiting))
+        self.assertEqual("room for 3 tasks", line.waits_for)
+
+    def test_job_before_its_time_says_when(self):
+        first = time.time() + 60.0
+        job = make_job(occurrences=2, first_due=first, interval=5.0)
+        _, line, _ = self.report(job, False)
+        self.assertIn("its time, in 5", line.waits_for)
+
+
+class SiteCommandsTest(testtools.TestCase):
+    """The commands as an operator runs them."""
+
+    def run_on(self, content, command, *arguments):
+        """Run ``command`` on a settings file with ``content``."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "settings.json")
+            path.write_bytes(content)
+            return anyio.run(run_command, command, str(path), *arguments)
+
+    def test_sound_settings_have_no_fault(self):
+        code, output, _ = self.run_on(make_boot("127.0.0.1:1"), "site-check")
+        self.assertEqual(ExitCode.OK, code)
+        self.assertIn("no fault (edge-a-1, store at 127.0.0.1:1)", output)
+
+    def test_bad_settings_are_refused_in_one_line(self):
+        for content in (b"{", b"\xff\xfe", b"[]", b"{}"):
+            code, _, errors = self.run_on(content, "site-check")
+            self.assertEqual(ExitCode.BAD_SETTINGS, code)
+            self.assertEqual(1, len(errors.splitlines()), errors)
+
+    def test_missing_settings_are_named(self):
+        code, _, errors = anyio.run(run_command, "site-check", "no-such.json")
+        self.assertEqual(ExitCode.BAD_SETTINGS, code)
+        self.assertEqual("no-such.json: No such file or directory", errors.strip())
+
+    def test_unreachable_store_has_its_own_code(self):
+        code, _, errors = self.run_on(make_boot("127.0.0.1:1"), "site-status")
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+        self.assertIn("the store at 127.0.0.1:1 can't be read", errors)
+
+    def test_status_is_read_from_the_store(self):
+        async def main():
+            model = StoreModel()
+            model.put("keyed.op", "config", msgspec.json.encode(CONFIGURATION))
+            model.join("control", "edge-a-1-1", ("keyed.jobs",), 60.0)
+            server = HttpServer.from_config("127.0.0.1:0", model.app, http="httptools")
+            async with anyio.create_task_group() as task_group:
+                server.start(task_group)
+                with tempfile.TemporaryDirectory() as folder:
+                    path = anyio.Path(folder, "settings.json")
+                    await path.write_bytes(make_boot(server.address))
+                    told = await run_command("site-status", str(path))
+                    missing = await run_command(
+                        "site-status", str(path), "--job", "f" * 16
+                    )
+                await server.close()
+            return told, missing
+
+        (code, output, errors), missing = anyio.run(main)
+        self.assertEqual((ExitCode.OK, ""), (code, errors))
+        self.assertEqual(3, len(output.splitlines()), output)
+        self.assertIn("configuration version 3", output)
+        self.assertIn("pool cuts: controlled by edge-a-1-1, 0 workers", output)
+        self.assertIn("moves and maintenance: ordered by nobody", output)
+        self.assertEqual(ExitCode.UNDECIDED, missing[0])
+        self.assertIn("the store has no job ffffffffffffffff", missing[2])
