--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -15,6 +15,7 @@
     job_ends,
     job_placement,
     leveling,
+    missing_workers,
     run_progress,
 )
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
@@ -25,10 +26,9 @@
 from azurelanding.pool_links import PoolLinks
 from azurelanding.pool_stream import TOPIC
 from azurelanding.store import Producer, StoreError, StoreFencedError
-from azurelanding.utils import CLOCK_STEP_SECONDS, Notifier, boot_time
+from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import Refusal, StartOrder, StopOrder
 from azurelanding.worker_health import WorkerHealths
-from azurelanding.worker_link import TAKEOVER_SLACK_SECONDS
 from azurelanding.worker_rooms import usable_rooms
 
 logger = structlog.get_logger()
@@ -49,8 +49,9 @@
 """How long a task rests after a start that was refused."""
 
 
-LEASE_FACTOR = 1.05
-"""A full lease on a worker whose clock is slow, and the slack for it."""
+def _log_run(event, worker, task, run, **facts):
+    """Log a decision on one run of a task."""
+    logger.info(event, job=task.job, task=str(task), run=run, worker=worker, **facts)
 
 
 class ControlLostError(Exception):
@@ -238,15 +239,8 @@
         elif known and end.end is RunEnd.FAILED:
             self.healths.note_failed(link.entry.id, end.task.job, boot_time())
         self.metrics.count(f"ends_{end.end.value}")
-        logger.info(
-            "run ended",
-            job=end.task.job,
-            task=str(end.task),
-            run=end.run,
-            worker=link.entry.id,
-            end=end.end.value,
-            counted=known,
-        )
+        facts = {"end": end.end.value, "counted": known}
+        _log_run("run ended", link.entry.id, end.task, end.run, **facts)
 
     def _note_losses(self, draft):
         """Free the runs that surely are not under way any more."""
@@ -269,13 +263,6 @@
         """Tell whether a worker's life is surely over, whatever its lease."""
         return worker_id in ended or self.daemon.registry.is_over(worker_id)
 
-    def _own_runs(self, worker_id):
-        return [
-            (task, run)
-            for task, run in self.ledger.placed[worker_id]
-            if self.ledger.active[task.job].job.pool == self.pool
-        ]
-
     def _note_missing(self, draft, now, ended):
         """Free the runs on workers that no entry names, once their lease is over.
 
@@ -283,34 +270,21 @@
         for the whole of its lease anew. It is followed again only once the record no
         longer names it, for its lease is extended from then on.
         """
-        runs = {
-            worker_id: self._own_runs(worker_id)
-            for worker_id in self.ledger.placed.keys() - self.links.keys()
-            if worker_id not in self.workers.registered
-        }
+        registered = self.workers.registered
+        runs = missing_workers.find_runs(self.ledger, self.pool, self.links, registered)
         known, wall = self.ledger.missing.get(self.pool, {}), time.time()
-        missing = {name: known.get(name, wall) for name in sorted(runs) if runs[name]}
+        missing = {name: known.get(name, wall) for name in sorted(runs)}
         if missing != known:
             draft.add(WorkersMissing(self.pool, missing))
-        wait = TAKEOVER_SLACK_SECONDS + self.site.timing.longest_lease * LEASE_FACTOR
+        lease = self.site.timing.longest_lease
         for name in missing:
-            is_expired = now > self.started_at + wait or (
-                name in known and wall > known[name] + wait + CLOCK_STEP_SECONDS
-            )
-            if is_expired or self._is_over(name, ended):
+            since = known.get(name)
+            if self._is_over(name, ended) or missing_workers.is_expired(
+                since, self.started_at, lease, now, wall
+            ):
                 for task, run in runs[name]:
-                    self._free_missing(draft, task, run, name)
-
-    def _free_missing(self, draft, task, run, worker_id):
-        job_ends.note_lost(draft, task, run)
-        logger.info(
-            "run freed",
-            job=task.job,
-            task=str(task),
-            run=run,
-            worker=worker_id,
-            reason="no worker",
-        )
+                    job_ends.note_lost(draft, task, run)
+                    _log_run("run freed", name, task, run, reason="no worker")
 
     def _free(self, draft, link, task, run, reason):
         job_ends.note_lost(draft, task, run)
@@ -318,14 +292,7 @@
         if not link.is_gone:
             # A start without an answer may still be carried out.
             link.stop_first(task, run)
-        logger.info(
-            "run freed",
-            job=task.job,
-            task=str(task),
-            run=run,
-            worker=link.entry.id,
-            reason=reason,
-        )
+        _log_run("run freed", link.entry.id, task, run, reason=reason)
 
     def _note_refused(self, draft, link, task, run, refusal):
         now = boot_time()
@@ -338,14 +305,8 @@
         if refusal is Refusal.NO_TICKET:
             self.tickets.forget(task, link.entry.id)
         self.metrics.count(f"start_refused_{refusal.value if refusal else 'none'}")
-        logger.info(
-            "start refused",
-            job=task.job,
-            task=str(task),
-            run=run,
-            worker=link.entry.id,
-            reason=refusal.value if refusal else None,
-        )
+        reason = refusal.value if refusal else None
+        _log_run("start refused", link.entry.id, task, run, reason=reason)
 
     # Placement
 
@@ -386,13 +347,9 @@
         task.last_run = self._next_run(draft, ready, task)
         task.active[task.last_run] = placed.worker
         draft.set_task(task_id, task)
-        logger.info(
-            "task placed",
-            job=job.id,
-            task=str(task_id),
-            run=task.last_run,
-            worker=placed.worker,
-            failures=task.failures,
+        failures = task.failures
+        _log_run(
+            "task placed", placed.worker, task_id, task.last_run, failures=failures
         )
         self.metrics.count("starts")
         self.metrics.observe("start_seconds", time.time() - job.submitted_at)
@@ -441,14 +398,7 @@
             return
         link.stops[task_id, run] = now
         link.order(StopOrder(task_id, run))
-        logger.info(
-            "stop ordered",
-            job=task_id.job,
-            task=str(task_id),
-            run=run,
-            worker=worker_id,
-            reason=reason,
-        )
+        _log_run("stop ordered", worker_id, task_id, run, reason=reason)
         self.metrics.count("stops")
 
     def _level(self):
