--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -10,24 +10,18 @@
 import anyio
 import structlog
 
-from azurelanding import (
-    evacuation,
-    job_ends,
-    job_placement,
-    leveling,
-    missing_workers,
-    run_progress,
-)
+from azurelanding import evacuation, job_ends, job_placement, missing_workers
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.job_draft import JobDraft
 from azurelanding.jobs import RunEnd
 from azurelanding.ledger import WorkersMissing, WorkersVacated
 from azurelanding.pool_links import PoolLinks
+from azurelanding.pool_stops import PoolStops, log_run
 from azurelanding.pool_stream import TOPIC
 from azurelanding.store import Producer, StoreError, StoreFencedError
 from azurelanding.utils import Notifier, boot_time
-from azurelanding.worker_calls import Refusal, StartOrder, StopOrder
+from azurelanding.worker_calls import Refusal, StartOrder
 from azurelanding.worker_health import WorkerHealths
 from azurelanding.worker_rooms import usable_rooms
 
@@ -39,8 +33,6 @@
 """Time to gather events that come together; under the time of one append."""
 STORE_PATIENCE_SECONDS = 3600.0
 """A controller waits for the store as long as it holds its pool."""
-STOP_SECONDS = 0.6
-"""Time after which a stop is ordered again; over the time that workers take for one."""
 FORGET_SECONDS = 5.0
 """Time between two looks for jobs whose retention is over, and its slack for clocks."""
 FULL_PAUSE_SECONDS = 0.4
@@ -49,11 +41,6 @@
 """How long a task rests after a start that was refused."""
 
 
-def _log_run(event, worker, task, run, **facts):
-    """Log a decision on one run of a task."""
-    logger.info(event, job=task.job, task=str(task), run=run, worker=worker, **facts)
-
-
 class ControlLostError(Exception):
     """Another daemon controls the pool."""
 
@@ -81,7 +68,9 @@
         self.links = self.workers.links
         self.rests = {}
         self.healths = WorkerHealths()
-        self.levels = leveling.Levels()
+        self.stops = PoolStops(
+            pool, self.ledger, self.links, self.healths, self.metrics
+        )
         self.tickets = daemon.make_tickets()
         self.is_lost = False
         self.is_due = True
@@ -176,10 +165,10 @@
             link.acknowledge(number)
         for worker_id, order in starts:
             self.links[worker_id].order(order)
-        self._stop_unwanted()
-        self._stop_stuck()
+        self.stops.stop_unwanted()
+        self.stops.stop_stuck()
         self._evacuate()
-        self._level()
+        self.stops.level()
 
     def _forget(self, draft):
         """Drop what is over, now and then."""
@@ -240,7 +229,7 @@
             self.healths.note_failed(link.entry.id, end.task.job, boot_time())
         self.metrics.count(f"ends_{end.end.value}")
         facts = {"end": end.end.value, "counted": known}
-        _log_run("run ended", link.entry.id, end.task, end.run, **facts)
+        log_run("run ended", link.entry.id, end.task, end.run, **facts)
 
     def _note_losses(self, draft):
         """Free the runs that surely are not under way any more."""
@@ -284,7 +273,7 @@
             ):
                 for task, run in runs[name]:
                     job_ends.note_lost(draft, task, run)
-                    _log_run("run freed", name, task, run, reason="no worker")
+                    log_run("run freed", name, task, run, reason="no worker")
 
     def _free(self, draft, link, task, run, reason):
         job_ends.note_lost(draft, task, run)
@@ -292,7 +281,7 @@
         if not link.is_gone:
             # A start without an answer may still be carried out.
             link.stop_first(task, run)
-        _log_run("run freed", link.entry.id, task, run, reason=reason)
+        log_run("run freed", link.entry.id, task, run, reason=reason)
 
     def _note_refused(self, draft, link, task, run, refusal):
         now = boot_time()
@@ -306,7 +295,7 @@
             self.tickets.forget(task, link.entry.id)
         self.metrics.count(f"start_refused_{refusal.value if refusal else 'none'}")
         reason = refusal.value if refusal else None
-        _log_run("start refused", link.entry.id, task, run, reason=reason)
+        log_run("start refused", link.entry.id, task, run, reason=reason)
 
     # Placement
 
@@ -348,9 +337,7 @@
         task.active[task.last_run] = placed.worker
         draft.set_task(task_id, task)
         failures = task.failures
-        _log_run(
-            "task placed", placed.worker, task_id, task.last_run, failures=failures
-        )
+        log_run("task placed", placed.worker, task_id, task.last_run, failures=failures)
         self.metrics.count("starts")
         self.metrics.observe("start_seconds", time.time() - job.submitted_at)
         ticket = self.tickets.ticket(ready, placed.worker)
@@ -365,48 +352,6 @@
         known = self.ledger.active[ready.state.job.id]
         return 1 + max(known.task(member).last_run for member in ready.tasks)
 
-    # Orders beside starts
-
-    def _stop_unwanted(self):
-        """Stop the runs of jobs that are over, and those that the log does not know."""
-        for state in list(self.ledger.active.values()):
-            if state.job.pool != self.pool:
-                continue
-            for task_id, run, worker in job_ends.unwanted_runs(state):
-                self._stop(worker, task_id, run, "job over")
-        for worker_id, link in self.links.items():
-            placed = self.ledger.placed.get(worker_id, {})
-            for task_id, run in link.listed:
-                if (task_id, run) not in placed and (task_id, run) not in link.runs:
-                    self._stop(worker_id, task_id, run, "unknown run")
-
-    def _stop_stuck(self):
-        """Stop runs that stand still or are far slower than others."""
-        now = boot_time()
-        times = run_progress.step_times(self.links.values())
-        for worker_id, link in self.links.items():
-            moves = run_progress.runs_to_move(link, self.ledger, times, now)
-            for task_id, run, reason in moves:
-                if (task_id, run) not in link.stops:
-                    self.healths.note_failed(worker_id, task_id.job, now)
-                self._stop(worker_id, task_id, run, reason)
-
-    def _stop(self, worker_id, task_id, run, reason):
-        """Order a stop, and again if the run is still listed a while later."""
-        link, now = self.links.get(worker_id), boot_time()
-        if link is None or now < link.stops.get((task_id, run), 0.0) + STOP_SECONDS:
-            return
-        link.stops[task_id, run] = now
-        link.order(StopOrder(task_id, run))
-        _log_run("stop ordered", worker_id, task_id, run, reason=reason)
-        self.metrics.count("stops")
-
-    def _level(self):
-        """Slow down what fills beside tasks that miss their target."""
-        for link in self.links.values():
-            for order in self.levels.orders(link, self.ledger):
-                link.order(order)
-
     # Emptying workers
 
     def _note_vacated(self, draft):
@@ -431,7 +376,7 @@
         for task_id, run, worker in evacuation.runs_to_move(
             self.ledger, self.pool, leaving, draining, steady, rooms
         ):
-            self._stop(worker, task_id, run, "worker about to end")
+            self.stops.stop(worker, task_id, run, "worker about to end")
 
     async def _close(self):
         self.workers.close()
