--- a/azurelanding/main.py
+++ b/azurelanding/main.py
@@ -1,16 +1,14 @@
-"""Run azurelanding from the command line."""
+"""Run azurelanding from the command line.
+
+A daemon's modules are imported by its command only: they take most of a second, which
+the other commands need not wait for.
+"""
 
 import os
-import signal
 import sys
 
-import anyio
-import capnp
 import defopt
 
-from azurelanding import log
-from azurelanding.control import ControlDaemon
-from azurelanding.entry import EntryDaemon
 from azurelanding.operators import (
     host_commands,
     rule_commands,
@@ -24,7 +22,6 @@
     ExitCode,
     report_error,
 )
-from azurelanding.settings import SettingsError, read_settings
 
 COMMANDS = (
     *rule_commands.COMMANDS,
@@ -36,45 +33,6 @@
 )
 
 
-def _refuse_address(settings, error):
-    message = f"{settings.name} can't listen: {error}"
-    raise CommandError(ExitCode.BAD_SETTINGS, message) from error
-
-
-async def _run_daemon(make_daemon, settings):
-    """Run a daemon until it is told to stop by SIGTERM or SIGINT."""
-    async with capnp.kj_loop():
-        try:
-            daemon = make_daemon(settings)
-        except OSError as error:
-            _refuse_address(settings, error)
-        async with anyio.create_task_group() as task_group:
-            try:
-                await daemon.start(task_group)
-            except OSError as error:
-                _refuse_address(settings, error)
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                async for _ in signals:
-                    break
-            await daemon.close()
-            task_group.cancel_scope.cancel()
-
-
-def _start(make_daemon, path):
-    try:
-        settings = read_settings(path)
-    except SettingsError as error:
-        raise CommandError(ExitCode.BAD_SETTINGS, str(error)) from error
-    log.configure(settings.log.level)
-    try:
-        anyio.run(_run_daemon, make_daemon, settings)
-    except* CommandError as group:
-        refused = group.exceptions[0]
-    else:
-        return
-    raise refused
-
-
 def entry(*, settings: str):
     """Carry requests between callers and targets.
 
@@ -82,7 +40,10 @@
 
     :param settings: path of the YAML settings
     """
-    _start(EntryDaemon, settings)
+    from azurelanding.daemon_process import run_daemon
+    from azurelanding.entry import EntryDaemon
+
+    run_daemon(EntryDaemon, settings)
 
 
 def control(*, settings: str):
@@ -92,7 +53,10 @@
 
     :param settings: path of the YAML settings
     """
-    _start(ControlDaemon, settings)
+    from azurelanding.control import ControlDaemon
+    from azurelanding.daemon_process import run_daemon
+
+    run_daemon(ControlDaemon, settings)
 
 
 def main():
--- a/azurelanding/operators/site_commands.py
+++ b/azurelanding/operators/site_commands.py
@@ -1,6 +1,7 @@
 """The operators' commands for a site on the platform: site-check, site-status.
 
 They read what the daemons read, the settings file and the store; they ask no daemon.
+What a daemon needs is imported only where it is used, for the other commands' sake.
 """
 
 import pathlib
@@ -8,9 +9,8 @@
 
 import anyio
 
-from azurelanding import log, site_report
+from azurelanding import log
 from azurelanding.operators.command_line import CommandError, ExitCode
-from azurelanding.platform.main import make_peers
 from azurelanding.platform.settings import decode_settings
 from azurelanding.settings import SettingsError
 from azurelanding.store import StoreError
@@ -46,6 +46,8 @@
 
 
 def _print_site(state):
+    from azurelanding import site_report
+
     if state.configuration is None:
         print("no configuration yet")
         return
@@ -65,6 +67,8 @@
 
 
 def _print_job(state, job):
+    from azurelanding import site_report
+
     line = site_report.report_job(state, job, time.time())
     if line is None:
         raise CommandError(ExitCode.UNDECIDED, f"the store has no job {job}")
@@ -86,6 +90,9 @@
     :param settings: path of a daemon's settings file, which names the store
     :param job: show only the job with this id, and what it waits for
     """
+    from azurelanding import site_report
+    from azurelanding.platform.main import make_peers
+
     log.configure("critical")
     site = _read_settings(settings)
     try:
