--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -10,6 +10,7 @@
 from azurelanding.fleet_records import HostPlan
 from azurelanding.fleet_workers import HostPhase
 from azurelanding.job_placement import Prospect, prospect, ready_steps
+from azurelanding.jobs import longest_chain
 
 FLOOR_SHARE = 0.5
 """Part of the hosts of an even share that a pool in use keeps: they carry the first
@@ -20,6 +21,8 @@
 """What hosts are brought for; jobs that are late anyway run in the room there is."""
 ARRIVAL_SECONDS = 1.0
 """Time over which arriving work is counted; about a fifth of a surge."""
+HORIZON_SECONDS = 2.0
+"""How far ahead arrivals are reckoned: until a host that is ordered now has come."""
 ARRIVALS_COUNT = 3
 """Jobs that must arrive in that time before their work counts as a surge."""
 SURPLUS_SECONDS = 2.5
@@ -53,10 +56,11 @@
 
 
 def arriving_cores(states, now):
-    """Return the cores that work like that of the last moments keeps busy.
+    """Return the cores that are busy soon if jobs go on arriving as of late.
 
     By Little's law that is the work that arrives in a second: a surge shows in it well
-    before its jobs have piled up.
+    before its jobs have piled up. Of jobs that take longer than a host takes to come,
+    only those count that will be there by then.
     """
     fresh = [
         state.job
@@ -67,13 +71,16 @@
     ]
     if len(fresh) < ARRIVALS_COUNT:
         return 0.0
+    return sum(map(_work_soon, fresh)) / ARRIVAL_SECONDS
+
+
+def _work_soon(job):
     work = sum(
         step.count * step.need.cores * step.estimate
-        for job in fresh
         for step in job.steps
         if not step.fills
     )
-    return work / ARRIVAL_SECONDS
+    return work * HORIZON_SECONDS / max(longest_chain(job), HORIZON_SECONDS)
 
 
 def lasting_cores(states):
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -195,6 +195,10 @@
         self.assertEqual(48.0, pool_sizes.arriving_cores(states, 1.5))
         self.assertEqual(6, pool_sizes.hosts_wanted(states[:3], 1.5, 10.0, 1))
         self.assertEqual(0.0, pool_sizes.arriving_cores(states, 2.5))
+        long = (make_step(4, need=Need(4.0, 1, 0), estimate=4.0),)
+        jobs = [make_job(f"{n}" * 16, steps=long) for n in range(3)]
+        states = [JobState(job) for job in jobs]
+        self.assertEqual(96.0, pool_sizes.arriving_cores(states, 1.5))
         self.assertEqual(0.0, pool_sizes.arriving_cores(states[:2], 1.5))
 
 
