--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -48,7 +48,6 @@
         self.client = client
         self.member = daemon.duty_member
         self.fold = daemon.fleet
-        self.site = daemon.site
         self.hosts = {}
         self.vacant_since = {}
         self.missing_since = {}
@@ -126,7 +125,7 @@
         stands may still be ordered by them until now; one whose plan was dropped or
         carried out was ordered at its last record at the latest.
         """
-        pause = self.site.timing.holder_pause + PAUSE_SLACK_SECONDS
+        pause = self.daemon.site.timing.holder_pause + PAUSE_SLACK_SECONDS
         self.free_at = {host: at + pause for host, at in self.fold.touched.items()}
         now = boot_time()
         self.free_at.update((host, now + pause) for host in self.fold.pending())
@@ -293,7 +292,7 @@
 
     def _hosts_away(self, wave):
         """Return the hosts of a wave that are in maintenance, or may be."""
-        recent = boot_time() - (self.site.timing.maintenance + LOOK_SECONDS)
+        recent = boot_time() - (self.daemon.site.timing.maintenance + LOOK_SECONDS)
         away = {
             name
             for name in wave.hosts
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -109,20 +109,20 @@
             async for number in signals:
                 if number != signal.SIGHUP:
                     break
-                _reload(site)
+                _reload(daemon)
             await _stop(daemon, servers)
         task_group.cancel_scope.cancel()
     await daemon.close()
 
 
-def _reload(site):
-    """Look at changed settings; what they change needs a restart to take effect."""
+def _reload(daemon):
+    """Read the settings anew; unreadable ones leave the last in force."""
     try:
         changed = settings.read_settings()
     except SettingsError as error:
         logger.warning("changed settings unreadable", reason=str(error))
         return
-    logger.info("settings looked at", changed=changed != site)
+    daemon.apply(changed)
 
 
 def main():
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -58,7 +58,6 @@
         self.stream = stream
         self.ledger = stream.ledger
         self.daemon = daemon
-        self.site = daemon.site
         self.metrics = daemon.metrics
         producer = Producer(f"control-{pool}", epoch)
         self.appender = Appender(
@@ -176,7 +175,7 @@
         if now < self.forgot_at + FORGET_SECONDS:
             return
         self.forgot_at = now
-        retention = self.site.timing.retention + FORGET_SECONDS
+        retention = self.daemon.site.timing.retention + FORGET_SECONDS
         job_ends.forget_jobs(draft, retention, time.time())
         self.tickets.prune(self.ledger.active)
 
@@ -265,7 +264,7 @@
         missing = {name: known.get(name, wall) for name in sorted(runs)}
         if missing != known:
             draft.add(WorkersMissing(self.pool, missing))
-        lease = self.site.timing.longest_lease
+        lease = self.daemon.site.timing.longest_lease
         for name in missing:
             since = known.get(name)
             if self._is_over(name, ended) or missing_workers.is_expired(
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -102,6 +102,15 @@
         make_store = self.peers.make_store
         return TopicFollower(topic, 0, make_store, fold, lambda: pause, wait)
 
+    def apply(self, site):
+        """Take over the bounds of changed settings; addresses need a restart."""
+        bounds = attrs.evolve(self.site, timing=site.timing)
+        is_whole = bounds == site
+        logger.info("settings applied", changed=site != self.site, whole=is_whole)
+        if not is_whole:
+            logger.warning("settings change more than bounds, which needs a restart")
+        self.site = bounds
+
     # What the parts ask the daemon for
 
     def stream_of(self, pool):
