Count arrivals that are known late, and apply the duty's own records at once

Change: the window of arrivals is as much longer as the pool's stream is behind; a pool of which nothing new is known for 2 s gives no host away; the duty applies its own records. The two tests of late knowledge fail without.

--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -15,7 +15,7 @@
 from azurelanding.fleet_records import WaveProgress
 from azurelanding.fleet_workers import HostPhase
 from azurelanding.host_calls import HostBusyError, HostCallError, HostFencedError
-from azurelanding.store import Producer, StoreError
+from azurelanding.store import Producer, StoredRecord, StoreError
 from azurelanding.utils import boot_time
 
 logger = structlog.get_logger()
@@ -168,6 +168,7 @@
         """Return by pool how many hosts it wants beyond those it has."""
         return self.sizes.gaps(
             self.daemon.states_of,
+            self.daemon.lag_of,
             self.daemon.operator.configuration.pools_in_use(),
             self.hosts,
             self.fold.pending(),
@@ -191,8 +192,9 @@
         """Store records of the fleet and apply them here."""
         if not records:
             return
-        await self.appender.append(records, STORE_PATIENCE_SECONDS)
-        await self.daemon.fleet_follower.refresh()
+        offset = await self.appender.append(records, STORE_PATIENCE_SECONDS)
+        for number, (key, value) in enumerate(records):
+            self.fold.apply_stored(StoredRecord(key, value, offset + number))
 
     async def _tell(self, wave, is_complete):
         """Tell the operator of a wave, once for each state."""
--- a/azurelanding/fleet_fold.py
+++ b/azurelanding/fleet_fold.py
@@ -29,13 +29,21 @@
         """Forget the records, to be read again from the store."""
         self.plans = {}
         self.waves = {}
+        self.offsets = {}
 
     def load_order(self, record):
         """Return where a record stands when the newest of each key are loaded."""
         return record.offset
 
     def apply_stored(self, record):
-        """Apply one ``StoredRecord``; one that can't be read is left out."""
+        """Apply one ``StoredRecord``; one that can't be read is left out.
+
+        A record that is older than what is known of its key changes nothing, so the
+        holder of the duty applies its own as soon as they are stored.
+        """
+        if record.offset <= self.offsets.get(record.key, -1):
+            return
+        self.offsets[record.key] = record.offset
         try:
             kind, name, decoded = decode_record(record.key, record.value)
         except FleetRecordError as error:
--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -25,6 +25,9 @@
 """How far ahead arrivals are reckoned: until a host that is ordered now has come."""
 ARRIVALS_COUNT = 3
 """Jobs that must arrive in that time before their work counts as a surge."""
+LONGEST_LAG_SECONDS = 2.0
+"""Age of what is known of a pool from which on it gives no host away; a stream without
+news is read about once a second."""
 SURPLUS_SECONDS = 2.5
 """How long a pool has more than it wants before it gives a host back."""
 
@@ -55,19 +58,19 @@
     return cores, spread
 
 
-def arriving_cores(states, now):
+def arriving_cores(states, lag, now):
     """Return the cores that are busy soon if jobs go on arriving as of late.
 
     By Little's law that is the work that arrives in a second: a surge shows in it well
     before its jobs have piled up. Of jobs that take longer than a host takes to come,
-    only those count that will be there by then.
+    only those count that will be there by then. What is known is ``lag`` seconds old.
     """
     fresh = [
         state.job
         for state in states
         if not state.job.is_long_running
         and not state.job.first_due
-        and now - state.job.submitted_at < ARRIVAL_SECONDS
+        and now - state.job.submitted_at < ARRIVAL_SECONDS + lag
     ]
     if len(fresh) < ARRIVALS_COUNT:
         return 0.0
@@ -94,10 +97,10 @@
     )
 
 
-def hosts_wanted(states, now, host_cores, floor):
-    """Return how many hosts a pool wants for its jobs."""
+def hosts_wanted(states, lag, now, host_cores, floor):
+    """Return how many hosts a pool wants for its jobs, known ``lag`` seconds late."""
     cores, spread = demand(states, now)
-    cores = max(cores, lasting_cores(states) + arriving_cores(states, now))
+    cores = max(cores, lasting_cores(states) + arriving_cores(states, lag, now))
     return max(floor, spread, math.ceil(cores / (host_cores * FULL_SHARE)))
 
 
@@ -137,21 +140,24 @@
         """Return when ``what`` was first asked for."""
         return self.seen.setdefault(what, now)
 
-    def gaps(self, states_of, pools, hosts, plans, now):
+    def gaps(self, states_of, lag_of, pools, hosts, plans, now):
         """Return by pool how many hosts it wants beyond those it has.
 
-        ``states_of(pool)`` returns the ``JobState``s of a pool; ``now`` is in seconds
-        since the epoch.
+        ``states_of(pool)`` returns the ``JobState``s of a pool, and ``lag_of(pool)``
+        how many seconds old they are; a pool of which too little is known has no
+        surplus. ``now`` is in seconds since the epoch.
         """
         cores = [host.room.cores for host in hosts.values() if host.room.cores]
         if not cores or self.floor is None:
             return {}
         host_cores = sorted(cores)[len(cores) // 2]
-        return {
-            pool: hosts_wanted(states_of(pool), now, host_cores, self.floor)
-            - count_hosts(hosts, plans, pool)
-            for pool in pools
-        }
+        gaps = {}
+        for pool in pools:
+            lag = lag_of(pool)
+            wanted = hosts_wanted(states_of(pool), lag, now, host_cores, self.floor)
+            gap = wanted - count_hosts(hosts, plans, pool)
+            gaps[pool] = gap if lag < LONGEST_LAG_SECONDS else max(0, gap)
+        return gaps
 
     def note(self, gaps, now):
         """Note which pools have more than they want at ``boot_time`` ``now``."""
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -148,6 +148,10 @@
         active = self.stream_of(pool).ledger.active
         return [state for state in active.values() if state.job.pool == pool]
 
+    def lag_of(self, pool):
+        """Return how many seconds old the states of a pool's jobs are."""
+        return anyio.current_time() - self.stream_of(pool).follower.fresh_at
+
     def vacated(self, pool):
         """Return the workers that the controller of a pool keeps empty."""
         return self.stream_of(pool).ledger.vacated.get(pool, ())
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -142,7 +142,7 @@
         self.sizes = pool_sizes.PoolSizes()
         self.sizes.floor = 1
 
-    def moves(self, wanted_cores, hosts, now=0.0, plans=None, late_after=9.0):
+    def moves(self, wanted_cores, hosts, now=0.0, plans=None, late_after=9.0, lag=0.0):
         """Return pairs of host and pool; pools want ``wanted_cores``."""
         steps = {
             pool: (make_step(1, need=Need(cores, 1, 0)),)
@@ -153,7 +153,9 @@
             for p in steps
         }
         plans = plans or {}
-        gaps = self.sizes.gaps(jobs.__getitem__, steps, hosts, plans, 5.0)
+        gaps = self.sizes.gaps(
+            jobs.__getitem__, lambda pool: lag, steps, hosts, plans, 5.0
+        )
         self.sizes.note(gaps, now)
         found = self.sizes.plan_moves(gaps, hosts, plans, {}, {"off"}, now, 5.0)
         return sorted((plan.host, plan.pool) for plan in found)
@@ -186,20 +188,32 @@
     def test_step_that_must_be_spread_keeps_its_workers(self):
         step = make_step(5, per_worker=2, long_running=True)
         states = [JobState(make_job(steps=(step,)))]
-        self.assertEqual(3, pool_sizes.hosts_wanted(states, 5.0, 100.0, 1))
+        self.assertEqual(3, pool_sizes.hosts_wanted(states, 0.0, 5.0, 100.0, 1))
+
+    def test_pool_of_which_too_little_is_known_gives_nothing_back(self):
+        hosts = make_hosts({"a": 3, "off": 1})
+        self.assertEqual([], self.moves({"a": 1.0}, hosts, now=10.0, lag=2.5))
+        self.assertEqual([], self.moves({"a": 1.0}, hosts, now=13.0, lag=2.5))
+
+    def test_arrivals_that_are_known_late_count(self):
+        steps = (make_step(4, need=Need(4.0, 1, 0), estimate=0.5),)
+        jobs = [make_job(f"{n}" * 16, steps=steps) for n in range(3)]
+        states = [JobState(job) for job in jobs]
+        self.assertEqual(0.0, pool_sizes.arriving_cores(states, 0.0, 2.5))
+        self.assertEqual(24.0, pool_sizes.arriving_cores(states, 0.8, 2.5))
 
     def test_surge_is_seen_before_its_jobs_pile_up(self):
         steps = (make_step(4, need=Need(4.0, 1, 0), estimate=0.5),) * 2
         jobs = [make_job(f"{n}" * 16, steps=steps) for n in range(3)]
         states = [JobState(job) for job in jobs]
-        self.assertEqual(48.0, pool_sizes.arriving_cores(states, 1.5))
-        self.assertEqual(6, pool_sizes.hosts_wanted(states[:3], 1.5, 10.0, 1))
-        self.assertEqual(0.0, pool_sizes.arriving_cores(states, 2.5))
+        self.assertEqual(48.0, pool_sizes.arriving_cores(states, 0.0, 1.5))
+        self.assertEqual(6, pool_sizes.hosts_wanted(states[:3], 0.0, 1.5, 10.0, 1))
+        self.assertEqual(0.0, pool_sizes.arriving_cores(states, 0.0, 2.5))
         long = (make_step(4, need=Need(4.0, 1, 0), estimate=4.0),)
         jobs = [make_job(f"{n}" * 16, steps=long) for n in range(3)]
         states = [JobState(job) for job in jobs]
-        self.assertEqual(96.0, pool_sizes.arriving_cores(states, 1.5))
-        self.assertEqual(0.0, pool_sizes.arriving_cores(states[:2], 1.5))
+        self.assertEqual(96.0, pool_sizes.arriving_cores(states, 0.0, 1.5))
+        self.assertEqual(0.0, pool_sizes.arriving_cores(states[:2], 0.0, 1.5))
 
 
 class LevelsTest(testtools.TestCase):
--- a/azurelanding/tests/test_fleet_duty.py
+++ b/azurelanding/tests/test_fleet_duty.py
@@ -39,7 +39,8 @@
         closed_at=closed_at,
     )
     key, value = fleet_records.encode_record(plan)
-    duty.fold.apply_stored(StoredRecord(key, value, 1))
+    offset = duty.fold.offsets.get(key, 0) + 1
+    duty.fold.apply_stored(StoredRecord(key, value, offset))
 
 
 class TakeoverTest(testtools.TestCase):
@@ -73,6 +74,14 @@
         tell(duty, "old", LONG_AGO_SECONDS, is_dropped=True)
         self.assertEqual(["old"], self.free(duty, "new", "old"))
 
+    def test_older_record_changes_nothing(self):
+        duty = make_duty()
+        tell(duty, "a", 1.0)
+        tell(duty, "a", 1.0, is_dropped=True)
+        plan = HostPlan("a", "w-a", 1.0, pool="cuts")
+        duty.fold.apply_stored(StoredRecord(*fleet_records.encode_record(plan), 1))
+        self.assertEqual([], list(duty.fold.pending()))
+
     def test_dropped_plan_is_none(self):
         duty = make_duty()
         tell(duty, "a", 1.0)
