--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -354,11 +354,15 @@
     # Emptying workers
 
     def _note_vacated(self, draft):
-        """Record which workers this controller keeps empty for their hosts' sake."""
+        """Record which workers are kept empty for their hosts' sake, and are silent."""
         cordoned = self.daemon.cordoned()
         workers = tuple(sorted(cordoned & self.workers.registered.keys()))
-        if workers != self.ledger.vacated.get(self.pool, ()):
-            draft.add(WorkersVacated(self.pool, workers))
+        silent = tuple(
+            sorted(name for name, link in self.links.items() if link.is_silent)
+        )
+        known = self.ledger.vacated.get(self.pool, ())
+        if workers != known or silent != self.ledger.silent.get(self.pool, ()):
+            draft.add(WorkersVacated(self.pool, workers, silent))
 
     def _evacuate(self):
         """Stop long-running tasks on workers that are about to end."""
