--- a/azurelanding/fleet_duty.py
+++ b/azurelanding/fleet_duty.py
@@ -167,7 +167,8 @@
     def _gaps(self):
         """Return by pool how many hosts it wants beyond those it has."""
         return self.sizes.gaps(
-            self.daemon.demand_of,
+            self.daemon.states_of,
+            self.daemon.lag_of,
             self.daemon.operator.configuration.pools_in_use(),
             self.hosts,
             self.fold.pending(),
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -45,14 +45,10 @@
 
 @attrs.frozen
 class WorkersVacated:
-    """Which workers of a pool its controller keeps empty, and which don't answer it.
-
-    The former stay empty until they are gone; the latter are no room for now.
-    """
+    """The controller of a pool keeps these workers empty until they are gone."""
 
     pool: str
     workers: tuple[str, ...]
-    silent: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -90,8 +86,7 @@
 
     ``active`` holds those that have not ended. ``placed`` maps each worker to the
     runs that may be on it. ``vacated`` holds, by pool, the workers that its
-    controller keeps empty, ``silent`` those that don't answer it, ``missing`` since
-    when workers with runs have no entry.
+    controller keeps empty, ``missing`` since when workers with runs have no entry.
     """
 
     def __init__(self):
@@ -103,7 +98,6 @@
         self.active = {}
         self.placed = {}
         self.vacated = {}
-        self.silent = {}
         self.missing = {}
         self.offsets = {}
 
@@ -126,7 +120,6 @@
                 self._end(record)
             case WorkersVacated():
                 self.vacated[record.pool] = record.workers
-                self.silent[record.pool] = record.silent
             case WorkersMissing():
                 self.missing[record.pool] = record.since
 
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -354,15 +354,11 @@
     # Emptying workers
 
     def _note_vacated(self, draft):
-        """Record which workers are kept empty for their hosts' sake, and are silent."""
+        """Record which workers this controller keeps empty for their hosts' sake."""
         cordoned = self.daemon.cordoned()
         workers = tuple(sorted(cordoned & self.workers.registered.keys()))
-        silent = tuple(
-            sorted(name for name, link in self.links.items() if link.is_silent)
-        )
-        known = self.ledger.vacated.get(self.pool, ())
-        if workers != known or silent != self.ledger.silent.get(self.pool, ()):
-            draft.add(WorkersVacated(self.pool, workers, silent))
+        if workers != self.ledger.vacated.get(self.pool, ()):
+            draft.add(WorkersVacated(self.pool, workers))
 
     def _evacuate(self):
         """Stop long-running tasks on workers that are about to end."""
--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -7,8 +7,6 @@
 
 import math
 
-import attrs
-
 from azurelanding.fleet_records import HostPlan
 from azurelanding.fleet_workers import HostPhase
 from azurelanding.job_placement import Prospect, prospect, ready_steps
@@ -34,15 +32,6 @@
 """How long a pool has more than it wants before it gives a host back."""
 
 
-@attrs.frozen
-class PoolDemand:
-    """What is known of a pool: its jobs, how many seconds late, and silent workers."""
-
-    states: list
-    lag: float = 0.0
-    silent: tuple[str, ...] = ()
-
-
 def _never_rests(_task_id):
     return False
 
@@ -121,15 +110,10 @@
     return max(1, math.ceil(FLOOR_SHARE * running / max(1, len(pools))))
 
 
-def count_hosts(hosts, plans, pool, silent=()):
-    """Return how many hosts a pool has, moves under way and planned counted.
-
-    Hosts whose worker is in ``silent`` are no room.
-    """
+def count_hosts(hosts, plans, pool):
+    """Return how many hosts a pool has, moves under way and planned counted."""
     present = sum(
-        host.pool == pool
-        and host.phase in (HostPhase.UP, HostPhase.MOVING)
-        and host.worker not in silent
+        host.pool == pool and host.phase in (HostPhase.UP, HostPhase.MOVING)
         for host in hosts.values()
     )
     coming = sum(plan.pool == pool for plan in plans.values())
@@ -156,11 +140,12 @@
         """Return when ``what`` was first asked for."""
         return self.seen.setdefault(what, now)
 
-    def gaps(self, demands, pools, hosts, plans, now):
+    def gaps(self, states_of, lag_of, pools, hosts, plans, now):
         """Return by pool how many hosts it wants beyond those it has.
 
-        ``demands(pool)`` returns the ``PoolDemand`` of a pool; one of which too little
-        is known has no surplus. ``now`` is in seconds since the epoch.
+        ``states_of(pool)`` returns the ``JobState``s of a pool, and ``lag_of(pool)``
+        how many seconds old they are; a pool of which too little is known has no
+        surplus. ``now`` is in seconds since the epoch.
         """
         cores = [host.room.cores for host in hosts.values() if host.room.cores]
         if not cores or self.floor is None:
@@ -168,10 +153,10 @@
         host_cores = sorted(cores)[len(cores) // 2]
         gaps = {}
         for pool in pools:
-            known = demands(pool)
-            wanted = hosts_wanted(known.states, known.lag, now, host_cores, self.floor)
-            gap = wanted - count_hosts(hosts, plans, pool, known.silent)
-            gaps[pool] = gap if known.lag < LONGEST_LAG_SECONDS else max(0, gap)
+            lag = lag_of(pool)
+            wanted = hosts_wanted(states_of(pool), lag, now, host_cores, self.floor)
+            gap = wanted - count_hosts(hosts, plans, pool)
+            gaps[pool] = gap if lag < LONGEST_LAG_SECONDS else max(0, gap)
         return gaps
 
     def note(self, gaps, now):
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -11,7 +11,6 @@
 from azurelanding.job_service import JobService
 from azurelanding.membership import GroupMember, member_name, partition_of
 from azurelanding.pool_control import ControlLostError, PoolController
-from azurelanding.pool_sizes import PoolDemand
 from azurelanding.pool_stream import TOPIC, PoolStream
 from azurelanding.served_metrics import ServedMetrics
 from azurelanding.site_state import OperatorFold, WorkersFold
@@ -144,13 +143,14 @@
             placed.update(stream.ledger.placed)
         return placed
 
-    def demand_of(self, pool):
-        """Return the ``PoolDemand`` of a pool: its jobs that have not ended."""
-        stream = self.stream_of(pool)
-        active = stream.ledger.active.values()
-        states = [state for state in active if state.job.pool == pool]
-        lag = anyio.current_time() - stream.follower.fresh_at
-        return PoolDemand(states, lag, stream.ledger.silent.get(pool, ()))
+    def states_of(self, pool):
+        """Return the states of the jobs of a pool that have not ended."""
+        active = self.stream_of(pool).ledger.active
+        return [state for state in active.values() if state.job.pool == pool]
+
+    def lag_of(self, pool):
+        """Return how many seconds old the states of a pool's jobs are."""
+        return anyio.current_time() - self.stream_of(pool).follower.fresh_at
 
     def vacated(self, pool):
         """Return the workers that the controller of a pool keeps empty."""
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -80,7 +80,6 @@
         self.is_gone = False
         self.is_fenced = False
         self.is_failing = False
-        self.made_at = boot_time()
         self.heard_at = None
         self.clock = None
         longest = lease * (1 + CLOCK_ERROR) + TAKEOVER_SLACK_SECONDS
@@ -91,8 +90,8 @@
     @property
     def is_silent(self):
         """Tell whether the worker has not answered for longer than a hold takes."""
-        since = self.made_at if self.heard_at is None else self.heard_at
-        return boot_time() > since + 2 * HOLD_WAIT_SECONDS
+        silence = 2 * HOLD_WAIT_SECONDS
+        return self.heard_at is None or boot_time() > self.heard_at + silence
 
     def is_overdue(self, now):
         """Tell whether a report should have come by ``now``, a ``boot_time``."""
