--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -27,7 +27,8 @@
 
     ``silent`` answers nothing and does nothing, ``lose_answers`` counts orders that
     are carried out without an answer, ``fail_all`` fails every run. With ``still``
-    tasks make no progress and don't end.
+    tasks make no progress and don't end. ``tail`` is what it tells of the response
+    times of its tasks, in milliseconds, while nothing beside them is slowed down.
     """
 
     run_time: float = 0.05
@@ -35,6 +36,7 @@
     lose_answers: int = 0
     fail_all: bool = False
     still: bool = False
+    tail: float = 0.0
     refuse: Refusal | None = None
 
 
@@ -48,6 +50,7 @@
         self.pool = pool
         self.knobs = WorkerKnobs()
         self.started = []
+        self.phase = WorkerPhase.READY
         self.changes = Notifier()
         self.lives = 0
         self.restart()
@@ -57,13 +60,14 @@
         self.lives += 1
         self.fence = 0
         self.running = {}
+        self.paces = {}
         self.stopped = set()
         self.ends = []
         self.number = 0
         self.lease_end = 0.0
         self.changes.notify()
 
-    def entry(self, phase=WorkerPhase.READY):
+    def entry(self):
         """Return what the worker registers."""
         return WorkerEntry(
             id=self.name,
@@ -73,7 +77,7 @@
             availability_zone="a",
             room=self.room,
             labels=("a", "r1-1"),
-            phase=phase,
+            phase=self.phase,
             born=self.lives,
         )
 
@@ -185,8 +189,9 @@
             model.advance()
         if model.knobs.silent:
             raise WorkerSilentError("no answer", True)
+        tail = model.knobs.tail * min(model.paces.values(), default=1.0)
         runs = tuple(
-            ListedRun(*key, "", model.share(key), 0.0) for key in model.running
+            ListedRun(*key, "", model.share(key), tail) for key in model.running
         )
         return WorkerReport(boot_time(), model.lives, runs, tuple(model.ends))
 
@@ -203,8 +208,9 @@
         self._answer(model)
 
     async def pace(self, task, run, share):
-        """Accept a pace and do nothing about it."""
-        await self._reach()
+        """Slow a run down, and with it what it does to others."""
+        model = await self._reach()
+        model.paces[task, run] = share
 
     async def close(self):
         """Do nothing: there is no connection."""
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -124,9 +124,9 @@
             status_topic="status",
         )
 
-    def daemon(self, name):
+    def daemon(self, name, incarnation="1"):
         site = attrs.evolve(self.site, name=name)
-        daemon = SiteDaemon(site, self._peers(), "1")
+        daemon = SiteDaemon(site, self._peers(), incarnation)
         self.daemons.append(daemon)
         return daemon
 
--- /dev/null
+++ b/azurelanding/tests/test_site_rules.py
@@ -0,0 +1,144 @@
+"""Test on whole daemons what callers and workers were promised of jobs."""
+
+import anyio
+import testtools
+
+from azurelanding.fleet_workers import WorkerPhase
+from azurelanding.jobs import JobPhase
+from azurelanding.tests.platform_world import (
+    World,
+    make_job,
+    make_queue,
+    make_step,
+    until,
+)
+from azurelanding.tests.test_pool_control import count_starts, submit, until_phase
+
+QUEUE = make_queue()
+
+
+def make_world(*workers, **fields):
+    """Return a site with one pool of ``workers``."""
+    world = World(**fields)
+    for name in workers:
+        world.add_worker(name)
+    world.configure(QUEUE)
+    return world
+
+
+class RecoveryTest(testtools.TestCase):
+    """The loss of all daemons at once."""
+
+    def test_jobs_go_on_and_new_ones_are_served(self):
+        before = make_job("a" * 16, steps=(make_step(3), make_step(2, after=(0,))))
+        after = make_job("b" * 16, steps=(make_step(2),))
+        world = make_world("v", "w", lease=6.0)
+
+        async def live(names, incarnation, scenario):
+            async with anyio.create_task_group() as task_group:
+                for name in names:
+                    await world.daemon(name, incarnation).start(task_group)
+                await scenario()
+                task_group.cancel_scope.cancel()
+
+        async def first():
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 0.6
+            await submit(world, before)
+            await until(lambda: len(count_starts(world, before)) == 3)
+
+        async def second():
+            with anyio.fail_after(5.0):
+                await until_phase(world, before, JobPhase.COMPLETED, 3)
+                await submit(world, after, 2)
+                await until_phase(world, after, JobPhase.COMPLETED, 2)
+
+        async def main():
+            await live(("d0", "d1"), "1", first)
+            await live(("d0", "d1"), "2", second)
+
+        anyio.run(main)
+        self.assertEqual([1] * 5, list(count_starts(world, before).values()))
+        self.assertEqual([1] * 2, list(count_starts(world, after).values()))
+
+
+class GangTest(testtools.TestCase):
+    """Tasks that work only together."""
+
+    def test_members_start_together_under_one_run(self):
+        job = make_job(steps=(make_step(12, gang=True),))
+        world = make_world("v", "w")
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 1.0
+            world.fleet.models["v"].knobs.lose_answers = 3
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        anyio.run(world.run, scenario, 1)
+        runs = {
+            run for model in world.fleet.models.values() for _, run in model.started
+        }
+        self.assertEqual({1}, runs)
+        self.assertEqual([1] * 12, list(count_starts(world, job).values()))
+
+    def test_gang_without_room_for_all_waits_whole(self):
+        job = make_job(steps=(make_step(9, gang=True),))
+        world = make_world("v")
+
+        async def scenario(world):
+            await submit(world, job)
+            await anyio.sleep(0.5)
+            self.assertEqual({}, count_starts(world, job))
+            world.add_worker("w")
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        anyio.run(world.run, scenario, 1)
+
+
+class DrainTest(testtools.TestCase):
+    """Workers that are about to leave."""
+
+    def test_draining_worker_gets_no_start_within_its_time(self):
+        world = make_world("v", "w")
+
+        async def scenario(world):
+            await submit(world, make_job("a" * 16))
+            leaving = world.fleet.models["v"]
+            leaving.phase = WorkerPhase.DRAINING
+            world.store.put("workers", "v", b"entry")
+            await anyio.sleep(1.0)
+            begun = len(leaving.started)
+            job = make_job("b" * 16, steps=(make_step(6),))
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+            self.assertEqual(begun, len(leaving.started))
+
+        anyio.run(world.run, scenario, 1)
+
+
+class HarmTest(testtools.TestCase):
+    """Tasks that fill a worker beside tasks with a target."""
+
+    def test_what_fills_is_slowed_down_until_the_target_is_met(self):
+        steps = (
+            make_step(1, long_running=True, tail_target=0.1),
+            make_step(1, long_running=True, fills=True),
+        )
+        job = make_job(steps=steps)
+        world = make_world("v", lease=6.0)
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            model = world.fleet.models["v"]
+            model.knobs.tail = 300.0
+            await submit(world, job)
+            await until(lambda: len(count_starts(world, job)) == 2)
+            with anyio.fail_after(4.0):
+                while 300.0 * min(model.paces.values(), default=1.0) > 100.0:  # noqa: ASYNC110
+                    await anyio.sleep(0.02)
+            paced = {task.step for task, _ in model.paces}
+            self.assertEqual({1}, paced)
+
+        anyio.run(world.run, scenario, 1)
