Drop a read that a load has overtaken, which hid records for good

Its stream was loaded twice at once; the second load set it back to offset 3054, while a read from 3058 was under way, whose records were applied next, so 3054 to 3057 never were. Change: a read that began beyond the follower's place is dropped. The new test failed before.

--- /dev/null
+++ b/azurelanding/tests/test_topic_follower.py
@@ -0,0 +1,78 @@
+"""Test that a follower leaves nothing out when its reads and loads overlap."""
+
+import anyio
+import testtools
+
+from azurelanding.standins.platform_store import StoreModel
+from azurelanding.store import Producer, ReadRecords
+from azurelanding.topic_follower import TopicFollower
+
+
+class ListFold:
+    """Keeps the keys of what was applied since the last ``clear``."""
+
+    def __init__(self):
+        self.keys = []
+
+    def clear(self):
+        self.keys = []
+
+    def load_order(self, record):
+        return record.offset
+
+    def apply_stored(self, record):
+        self.keys.append(record.key)
+
+
+class HeldClient:
+    """A client of the store whose answers can be held back."""
+
+    def __init__(self, client):
+        self.client = client
+        self.released = anyio.Event()
+        self.released.set()
+
+    async def read(self, *arguments):
+        """Read at once, and answer when released."""
+        batch = await self.client.read(*arguments)
+        await self.released.wait()
+        return batch
+
+    async def newest(self, *arguments):
+        """Load at once, and answer when released."""
+        newest = await self.client.newest(*arguments)
+        await self.released.wait()
+        return ReadRecords(newest.records, newest.end)
+
+
+class OverlapTest(testtools.TestCase):
+    """A load that ends while a read is under way."""
+
+    def test_load_that_sets_a_follower_back_leaves_no_gap(self):
+        async def main():
+            store, fold = StoreModel(1), ListFold()
+            clients = [HeldClient(store.client()) for _ in range(2)]
+            makers = iter(clients)
+            follower = TopicFollower(
+                "jobs", 0, lambda: next(makers), fold, lambda: 0, 0.0
+            )
+            reader, loader = clients
+            partition, producer = store.partitions["jobs", 0], Producer("p", 1)
+            async with anyio.create_task_group() as task_group:
+                loader.released = anyio.Event()
+                task_group.start_soon(follower._load, loader)
+                await anyio.sleep(0.01)
+                await follower._load(reader)
+                partition.append([("a", b"1"), ("b", b"1")], producer, 1)
+                await follower._read(reader, 0.0)
+                reader.released = anyio.Event()
+                partition.append([("c", b"1")], producer, 2)
+                task_group.start_soon(follower._read, reader, 0.0)
+                await anyio.sleep(0.01)
+                loader.released.set()
+                await anyio.sleep(0.01)
+                reader.released.set()
+            await follower.refresh()
+            return fold.keys
+
+        self.assertEqual(["a", "b", "c"], anyio.run(main))
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -63,6 +63,10 @@
         began = anyio.current_time()
         start = self.next_offset
         batch = await client.read(self.topic, self.partition, start, wait)
+        if start > self.next_offset:
+            # A load that began earlier has set the partition back since: applied now,
+            # these records would hide those in between.
+            return
         fresh = [
             record for record in batch.records if record.offset >= self.next_offset
         ]
