Read the bandwidth of the host's own link from the settings

The settings of a process give the link of its host, and nothing read it: a daemon on 10 Mbit/s behaved like one on 1,000. No behaviour changes yet.

--- a/azurelanding/platform/settings.py
+++ b/azurelanding/platform/settings.py
@@ -10,6 +10,7 @@
 
 SETTINGS_PATH_VARIABLE = "AZURELANDING_BOOT"
 MS_PER_SECOND = 1000.0
+BYTES_PER_MEGABIT = 125_000
 
 
 def _decode_store(values):
@@ -38,6 +39,12 @@
     )
 
 
+def _decode_link_rate(limits):
+    """Return the host's bandwidth in bytes per second, or ``None`` if not given."""
+    megabits = limits.get("linkMbps")
+    return float(megabits) * BYTES_PER_MEGABIT if megabits else None
+
+
 def decode_settings(text):
     """Decode the content of a settings file into a ``Site``.
 
@@ -56,9 +63,16 @@
             store=_decode_store(values["platform"]),
             hosts_address=cloud_api.get("address", ""),
             advice_address=values.get("advice") or "",
+            link_rate=_decode_link_rate(values.get("limits") or {}),
             timing=_decode_timing(bounds),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
+    except (
+        msgspec.DecodeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+    ) as error:
         raise SettingsError(f"invalid settings: {error!r}") from error
 
 
--- a/azurelanding/site.py
+++ b/azurelanding/site.py
@@ -41,7 +41,8 @@
 
     ``hosts_address`` is the address of the platform's service for the hosts of the
     fleet, ``advice_address`` that of the advice service, which decides which workers
-    may run a step. Both are empty if the site has no such service.
+    may run a step. Both are empty if the site has no such service. ``link_rate`` is the
+    bandwidth of the host's own link in bytes per second, or ``None`` if it is unknown.
     """
 
     name: str
@@ -52,4 +53,5 @@
     store: StoreSettings
     hosts_address: str = ""
     advice_address: str = ""
+    link_rate: float | None = None
     timing: Timing = Timing()
--- a/azurelanding/tests/test_platform_wire.py
+++ b/azurelanding/tests/test_platform_wire.py
@@ -53,12 +53,18 @@
         self.assertEqual(6.0, site.timing.grace)
         self.assertEqual(1.0, site.store.min_membership_seconds)
 
+    def test_link_rate_is_in_bytes_per_second(self):
+        site = settings.decode_settings(encode(SETTINGS, limits={"linkMbps": 10.0}))
+        self.assertEqual(1_250_000, site.link_rate)
+        self.assertIsNone(settings.decode_settings(encode(SETTINGS)).link_rate)
+
     def test_missing_or_mistyped_fields_are_refused(self):
         invalid = [
             b"",
             b"[]",
             b"{",
             encode(SETTINGS, listen=None),
+            encode(SETTINGS, limits={"linkMbps": "fast"}),
             encode({"zone": "a"}),
         ]
         for text in invalid:
