Control pools from daemons with the bandwidth for their starts

One of them got two busy pools and placed 453 tasks in one second, about twice what its link carries in that time. Its `hold` calls then timed out, leases ran out on workers that were up, and ends were listed in answers that it had given up on.

A daemon now has a rank by the bandwidth of its host, which its member name tells the others. One of a higher rank joins the control group only while no daemon of a lower rank holds a partition, and leaves again when one is back. Nothing is lost where all links are alike, or when all daemons of a rank are gone.

The new tests fail with every daemon at rank 0, which is what the code did.

--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -5,6 +5,10 @@
 store assigned the partition, so a later holder has a higher epoch. The role of fleet
 controller, which one daemon holds at a time, has a separate group that only the holder
 joins, so the role does not move when other daemons start or stop.
+
+A controller sends the specification of a job with each start of a task. A daemon whose
+host has too little bandwidth for that is a reserve: it joins only while no daemon with
+clearly more bandwidth holds anything.
 """
 
 import random
@@ -26,6 +30,18 @@
 MAX_JOIN_DELAY_SECONDS = 0.3
 """Longest random delay of a daemon that joins because a role has no holder. A join
 takes a hundredth of it, so two daemons rarely join at the same time."""
+RESERVE_INTERVAL_SECONDS = 0.6
+"""Interval between two looks of a reserve at the holders of a group."""
+RESERVE_DELAY_SECONDS = 0.5
+"""How long nobody must hold anything before a reserve of rank 1 joins, so that daemons
+of a lower rank which start at the same time join first. A rank multiplies it."""
+RESERVE_MARK = ".reserve"
+"""Precedes the rank in the member name of a reserve, where other daemons read it."""
+RESERVE_RANK_FACTOR = 4
+"""How many times less bandwidth one more rank means."""
+CONTROLLER_LINK_BYTES_PER_SECOND = 6_000_000.0
+"""Bandwidth from which a daemon has rank 0: 1,500 starts a second, one for each slot
+of 190 workers, with specifications of 4,000 bytes."""
 MEMBER_TIMEOUT_SECONDS = 1.2
 """Time without a join after which the store reassigns a member's partitions."""
 
@@ -35,9 +51,35 @@
     return zlib.crc32(name.encode()) % partitions
 
 
-def member_name(daemon, incarnation):
-    """Return the member name of one incarnation of a daemon."""
-    return f"{daemon}-{incarnation}"
+def reserve_rank(link_rate):
+    """Return the rank of a daemon on a host with ``link_rate`` bytes per second.
+
+    Rank 0 controls pools; higher ranks are reserves, each for the ranks below it. The
+    rate is ``None`` if it is unknown; such a host counts as fast enough.
+
+    >>> reserve_rank(12_500_000.0), reserve_rank(4_000_000.0), reserve_rank(625_000.0)
+    (0, 1, 2)
+    """
+    rank = 0
+    if link_rate is not None:
+        while link_rate * RESERVE_RANK_FACTOR**rank < CONTROLLER_LINK_BYTES_PER_SECOND:
+            rank += 1
+    return rank
+
+
+def member_name(daemon, incarnation, rank=0):
+    """Return the member name of one incarnation of a daemon with a reserve rank."""
+    return (
+        f"{daemon}-{incarnation}{RESERVE_MARK}{rank}"
+        if rank
+        else (f"{daemon}-{incarnation}")
+    )
+
+
+def rank_of(name):
+    """Return the reserve rank in a member name."""
+    rank = name.rpartition(RESERVE_MARK)[2]
+    return int(rank) if RESERVE_MARK in name and rank.isdecimal() else 0
 
 
 def daemon_name(name):
@@ -51,13 +93,17 @@
     ``member_timeout`` is the time in seconds without a join after which the store may
     reassign the holdings, and ``valid_until`` is the ``boot_time`` of that moment. With
     ``sole_partition``, the daemon is in the group only while it holds that partition or
-    nobody does.
+    nobody does. A member with the name of a reserve is in the group only while no
+    member of a lower rank holds any of its partitions.
     """
 
     def __init__(
         self, name, group, topics, client, member_timeout, sole_partition=None
     ):
         self.name = name
+        self.rank = rank_of(name)
+        self.has_joined = False
+        self.next_look_at = 0.0
         self.group = group
         self.sole_partition = sole_partition
         self.topics = topics
@@ -128,7 +174,10 @@
                 await self._join()
             except StoreError as error:
                 logger.info("join failed", group=self.group, reason=str(error))
-            await anyio.sleep(JOIN_INTERVAL_SECONDS)
+            waits_in_reserve = self.rank and not self.has_joined
+            await anyio.sleep(
+                RESERVE_INTERVAL_SECONDS if waits_in_reserve else JOIN_INTERVAL_SECONDS
+            )
 
     async def _remove_earlier_incarnations(self):
         """Remove earlier incarnations of this daemon, which have ended, from the group.
@@ -142,8 +191,11 @@
                 logger.info("earlier incarnation removed", group=self.group, name=name)
 
     async def _join(self):
-        """Join or renew the membership, unless another holds the sole partition."""
-        if self.sole_partition is not None and not await self._may_join():
+        """Join or renew the membership, if this daemon has a place in the group."""
+        if self.sole_partition is not None:
+            if not await self._may_join():
+                return
+        elif self.rank and not await self._is_reserve_needed():
             return
         sent_at = boot_time()
         membership = await self.client.join(
@@ -151,11 +203,39 @@
         )
         if self.stopping:
             return
+        self.has_joined = True
         self._apply_membership(membership, sent_at)
         if self.sole_partition is not None and self.sole_partition not in self.holdings:
+            self.has_joined = False
             self.holdings = {}
             await self.client.leave(self.group, self.name)
 
+    async def _is_reserve_needed(self):
+        """Return whether no member of a lower rank holds a partition, else leave."""
+        if self.has_joined and boot_time() < self.next_look_at:
+            return True
+        self.next_look_at = boot_time() + RESERVE_INTERVAL_SECONDS
+        holders = await self._holders()
+        if not holders and not self.has_joined:
+            await anyio.sleep(RESERVE_DELAY_SECONDS * self.rank)
+            holders = await self._holders()
+        if all(rank_of(name) >= self.rank for name in holders):
+            return True
+        if self.has_joined:
+            logger.info("reserve steps back", group=self.group, holders=len(holders))
+            await self._step_back()
+        return False
+
+    async def _step_back(self):
+        """Leave the group until this daemon is needed again."""
+        self.has_joined = False
+        self.holdings = {}
+        self.changes.notify()
+        await self.client.leave(self.group, self.name)
+
+    async def _holders(self):
+        return set((await self.client.owners(self.group)).values())
+
     async def _may_join(self):
         """Return whether no other member is known to hold the sole partition.
 
@@ -167,7 +247,8 @@
             return True
         owner = await self._owner()
         if owner is None and not is_held:
-            await anyio.sleep(random.uniform(0.0, MAX_JOIN_DELAY_SECONDS))
+            head_start = RESERVE_DELAY_SECONDS * self.rank
+            await anyio.sleep(head_start + random.uniform(0.0, MAX_JOIN_DELAY_SECONDS))
             owner = await self._owner()
         if is_held and owner not in (None, self.name):
             self.drop_holding(*self.sole_partition)
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -9,7 +9,12 @@
 from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_workers import WorkerRegistry
 from azurelanding.job_service import JobService
-from azurelanding.membership import GroupMember, member_name, partition_of
+from azurelanding.membership import (
+    GroupMember,
+    member_name,
+    partition_of,
+    reserve_rank,
+)
 from azurelanding.pool_control import ControlLostError, PoolController
 from azurelanding.pool_stream import TOPIC, PoolStream
 from azurelanding.served_metrics import ServedMetrics
@@ -66,7 +71,8 @@
     def __init__(self, site, service_clients, incarnation):
         self.site = site
         self.service_clients = service_clients
-        self.name = member_name(site.name, incarnation)
+        rank = reserve_rank(site.link_rate)
+        self.name = member_name(site.name, incarnation, rank)
         self.metrics = ServedMetrics()
         self.registry = WorkerRegistry()
         self.operator = OperatorFold(service_clients.decode_operator)
--- a/azurelanding/tests/test_membership.py
+++ b/azurelanding/tests/test_membership.py
@@ -3,7 +3,13 @@
 import anyio
 import testtools
 
-from azurelanding.membership import GroupMember
+from azurelanding.membership import (
+    GroupMember,
+    daemon_name,
+    member_name,
+    rank_of,
+    reserve_rank,
+)
 from azurelanding.platform.store import JOIN_TIMEOUT_SECONDS
 from azurelanding.site import StoreSettings
 from azurelanding.standins.platform_store import StoreModel
@@ -86,6 +92,73 @@
         self.assertEqual(members, anyio.run(main))
 
 
+class ReserveTest(testtools.TestCase):
+    """Daemons on hosts with too little bandwidth for the starts of a busy pool."""
+
+    def run_daemons(self, scenario, *link_rates):
+        """Run ``scenario`` with a member of the control group for each link rate."""
+        limits = StoreSettings("127.0.0.1:1", partitions=4)
+
+        async def main():
+            store = StoreModel(4)
+            members = []
+            async with anyio.create_task_group() as task_group:
+                for number, rate in enumerate(link_rates):
+                    name = member_name(f"d{number}", "1", reserve_rank(rate))
+                    client = store.client()
+                    member = GroupMember.from_config(name, "jobs", limits, client)
+                    members.append(member)
+                    task_group.start_soon(member.run)
+                await scenario(store, members)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def partition_counts(self, members):
+        return [len(member.holdings) for member in members]
+
+    def test_rank_is_read_from_the_name_of_a_member(self):
+        rates = (None, 125_000_000.0, 4_000_000.0, 1_250_000.0)
+        self.assertEqual([0, 0, 1, 2], [reserve_rank(rate) for rate in rates])
+        for rank in (0, 1, 12):
+            name = member_name("edge-1", "ab12cd", rank)
+            self.assertEqual((rank, "edge-1"), (rank_of(name), daemon_name(name)))
+
+    def test_pools_are_not_controlled_over_a_thin_link_beside_a_wide_one(self):
+        # Starts filled a link of 10 Mbit/s: leases ran out, and tasks ran twice.
+        async def scenario(store, members):
+            for _ in range(30):
+                await anyio.sleep(0.1)
+                self.assertEqual([0, 0, 0], self.partition_counts(members[1:]))
+            self.assertEqual(4, len(members[0].holdings))
+
+        self.run_daemons(scenario, 4_000_000.0, *[625_000.0] * 3)
+
+    def test_reserves_take_all_partitions_when_the_others_are_gone(self):
+        async def scenario(store, members):
+            await until(lambda: len(members[0].holdings) == 4)
+            epoch = members[0].epoch_of(*PARTITION)
+            members[0].client.cut = True
+            reserves = members[1:]
+            await until(lambda: self.partition_counts(reserves) == [2, 2], 6.0)
+            self.assertGreater(
+                min(epoch for m in reserves for epoch in m.holdings.values()), epoch
+            )
+            members[0].client.cut = False
+            await until(lambda: self.partition_counts(members) == [4, 0, 0], 6.0)
+            self.assertEqual([members[0].name], list(store.groups["control"].members))
+
+        self.run_daemons(scenario, None, 625_000.0, 625_000.0)
+
+    def test_reserves_share_the_partitions_where_every_link_is_thin(self):
+        async def scenario(store, members):
+            await until(lambda: self.partition_counts(members) == [2, 2], 4.0)
+            await anyio.sleep(2.0)
+            self.assertEqual([2, 2], self.partition_counts(members))
+
+        self.run_daemons(scenario, 625_000.0, 625_000.0)
+
+
 class SingleHolderTest(testtools.TestCase):
     """The group of the fleet controller, a role that one daemon holds at a time."""
 
