Fit reads of the store and their timeouts to the host's link

Callers on the grown sites got 503 for the state of their jobs, and a daemon that started there could stay without its state.

Cause: a read asked for up to 1 MB and had 1.2 s for it. A link of 10 Mbit/s that other answers share doesn't carry that in time, so the answer was dropped on the way and asked for again from the start, with more records behind it each time. The pages of newest records, which a daemon loads when it starts, are as long, and the store chooses their length.

A read now asks for what crosses the link in 0.2 s, so each answer makes progress; a page of newest records has the time that four of them take on the link.

The new test reads 700 KB at 500 KB/s and failed before with a timeout. The stand-in of the store now honours the limit of a read, as the store does.

--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -69,7 +69,9 @@
 def make_service_clients(site):
     """Return the client factories, codecs and topics for the peers of ``site``."""
     return ServiceClients(
-        make_store=functools.partial(StoreClient.from_config, site.store),
+        make_store=functools.partial(
+            StoreClient.from_config, site.store, site.link_rate
+        ),
         make_worker_client=WorkerClient.from_config,
         make_hosts=_bind_address(site.hosts_address, HostsClient.from_config),
         make_advice=_bind_address(site.advice_address, AdviceClient.from_config),
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -19,6 +19,7 @@
     StoreSequenceError,
 )
 
+BYTES_PER_KILOBYTE = 1024
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 COMPACTED_PREFIX = "keyed."
@@ -28,6 +29,15 @@
 JOIN_TIMEOUT_SECONDS = 0.5
 """Timeout of a join; less than half of the shortest membership that is requested, so
 that a join whose answer is lost can be repeated before the membership expires."""
+MAX_READ_KILOBYTES = 1024
+"""Longest answer to a read, which is the store's default."""
+MIN_READ_KILOBYTES = 64
+READ_SECONDS = 0.2
+"""Time in which the answer to a read crosses the host's link, if it is alone on it."""
+NEWEST_PAGE_BYTES = 1_400_000
+"""Longest page of newest records: 1 MB of values in base64."""
+LOADS_AT_ONCE = 4
+"""Number of pages that share the host's link while a daemon starts."""
 PLATFORM_TOPICS = {
     "operator": "keyed.op",
     "workers": "keyed.servers",
@@ -88,15 +98,31 @@
     Each task that uses the store has its own client. Unless stated otherwise, calls
     raise ``StoreRefusedError`` when they certainly had no effect and
     ``StoreNoResponseError`` when that is not known.
+
+    ``max_kilobytes`` limits the answer to one read, and ``page_timeout`` is the timeout
+    in seconds of one page of newest records, whose length the store chooses.
     """
 
-    def __init__(self, connection):
+    def __init__(self, connection, max_kilobytes, page_timeout):
         self.connection = connection
+        self.max_kilobytes = max_kilobytes
+        self.page_timeout = page_timeout
 
     @classmethod
-    def from_config(cls, settings):
-        """Return a client for the store of ``settings``, a ``StoreSettings``."""
-        return cls(HttpClient(settings.address, CALL_TIMEOUT_SECONDS))
+    def from_config(cls, settings, link_rate=None):
+        """Return a client for the store of ``settings``, a ``StoreSettings``.
+
+        ``link_rate`` is the bandwidth of the host's link in bytes per second, or
+        ``None``. An answer that takes longer than its timeout would be read again from
+        the start, and never arrive.
+        """
+        max_kilobytes, page_timeout = MAX_READ_KILOBYTES, CALL_TIMEOUT_SECONDS
+        if link_rate is not None:
+            kilobytes = int(link_rate * READ_SECONDS / BYTES_PER_KILOBYTE)
+            max_kilobytes = min(max(kilobytes, MIN_READ_KILOBYTES), max_kilobytes)
+            page_timeout += LOADS_AT_ONCE * NEWEST_PAGE_BYTES / link_rate
+        connection = HttpClient(settings.address, CALL_TIMEOUT_SECONDS)
+        return cls(connection, max_kilobytes, page_timeout)
 
     async def _call(self, method, name, query, body=b"", timeout=CALL_TIMEOUT_SECONDS):
         target = (
@@ -152,6 +178,7 @@
             "topic": wire_topic(topic),
             "part": partition,
             "from": start,
+            "maxKb": self.max_kilobytes,
             "waitMs": int(wait * 1000),
         }
         timeout = CALL_TIMEOUT_SECONDS + wait
@@ -183,7 +210,9 @@
             query = {"topic": wire_topic(topic), "part": partition}
             if after is not None:
                 query["after"] = after
-            status, content = await self._call("GET", "log-newest", query)
+            status, content = await self._call(
+                "GET", "log-newest", query, timeout=self.page_timeout
+            )
             if status == http.HTTPStatus.NOT_FOUND:
                 return ReadRecords((), 0)
             if status != http.HTTPStatus.OK:
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -37,6 +37,7 @@
 """
 PAGE_RECORDS = 500
 """Maximum number of records on one page of ``log-newest``."""
+DEFAULT_READ_KILOBYTES = 1024
 MAX_BODY_BYTES = 2_097_152
 
 
@@ -285,9 +286,13 @@
             await knobs_module.send_json(send, http.HTTPStatus.GONE, answer)
             return
         chunks = [struct.pack(">QQ", partition.end, partition.first)]
+        bytes_left = int(values.get("maxKb", DEFAULT_READ_KILOBYTES)) * 1024
         for record in partition.records[start - partition.first :]:
             key = record.key.encode()
             content = bytes((len(key),)) + key + (record.value or b"")
+            bytes_left -= len(content)
+            if bytes_left < 0 and len(chunks) > 1:
+                break
             chunks.append(struct.pack(">I", len(content)) + content)
         await http_server.send_reply(send, http.HTTPStatus.OK, (), b"".join(chunks))
 
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -72,6 +72,33 @@
 
         serve(model.app, scenario)
 
+    def test_long_answers_arrive_over_a_thin_link(self):
+        # Answers that took longer than their timeout were read again from the start.
+        model, producer, link_rate = StoreModel(), Producer("p", 1), 500_000.0
+        rows = [(f"job/{number}", b"x" * 7_000) for number in range(100)]
+
+        async def app(scope, receive, send):
+            async def send_slowly(message):
+                await anyio.sleep(len(message.get("body", b"")) / link_rate)
+                await send(message)
+
+            await model.app(scope, receive, send_slowly)
+
+        async def scenario(address):
+            client = StoreClient.from_config(StoreSettings(address), link_rate)
+            model.partitions["keyed.jobs", 1].append(rows, producer, 1)
+            found, end = [], 1
+            while len(found) < end:
+                batch = await client.read("jobs", 1, len(found))
+                found.extend(batch.records)
+                end = batch.end
+            self.assertEqual(100, len(found))
+            newest = await client.newest("jobs", 1)
+            self.assertEqual(100, len(newest.records))
+            await client.close()
+
+        serve(app, scenario)
+
 
 class FakeService:
     """Job service that returns preset results."""
