Read the records of a stream once, for the follower and for callers

Cause: to report a state, a daemon reads the stream up to its end on a connection of its own, while the follower of the same stream waits at the store for the next record. A record that was stored then crossed the link twice.

A follower that reads at long intervals no longer waits at the store, and takes turns with the reads for callers. One that controls the pool still waits, as it has to see records immediately.

The new test counts the records read and failed before.

--- a/azurelanding/tests/test_topic_follower.py
+++ b/azurelanding/tests/test_topic_follower.py
@@ -45,6 +45,23 @@
         return ReadRecords(newest.records, newest.end)
 
 
+class SlowCountingClient:
+    """A client of the store whose reads take a while; it records what they return."""
+
+    def __init__(self, client, read_keys):
+        self.client = client
+        self.read_keys = read_keys
+
+    async def read(self, *arguments):
+        batch = await self.client.read(*arguments)
+        await anyio.sleep(0.02)
+        self.read_keys.extend(record.key for record in batch.records)
+        return batch
+
+    async def newest(self, *arguments):
+        return await self.client.newest(*arguments)
+
+
 class OverlapTest(testtools.TestCase):
     """A load that completes while a read is in progress."""
 
@@ -76,3 +93,32 @@
             return fold.keys
 
         self.assertEqual(["a", "b", "c"], anyio.run(main))
+
+
+class RefreshTest(testtools.TestCase):
+    """Reads for callers, beside those of the follower itself."""
+
+    def test_records_are_read_once_by_a_follower_that_is_refreshed(self):
+        # Reading them twice at the same time filled the link of the host.
+        async def main():
+            store, fold, read_keys = StoreModel(1), ListFold(), []
+            partition, producer = store.partitions["jobs", 0], Producer("p", 1)
+
+            def make_client():
+                return SlowCountingClient(store.client(), read_keys)
+
+            follower = TopicFollower("jobs", 0, make_client, fold, lambda: 0.6, 1.0)
+            await follower.refresh()
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(follower.run)
+                for sequence in range(1, 10):
+                    rows = [(f"{sequence}.{number}", b"1") for number in range(10)]
+                    partition.append(rows, producer, sequence)
+                    await follower.refresh()
+                    await anyio.sleep(0.1)
+                task_group.cancel_scope.cancel()
+            return fold.keys, read_keys
+
+        applied, read = anyio.run(main)
+        self.assertEqual(90, len(applied))
+        self.assertEqual(sorted(applied), sorted(read))
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -8,6 +8,8 @@
 
 logger = structlog.get_logger()
 
+SHARED_READ_DELAY_SECONDS = 0.5
+"""Delay between reads from which on a follower takes turns with ``refresh``."""
 RETRY_DELAY_SECONDS = 0.2
 """Delay after a failed read, so that a store that is down is not overloaded."""
 
@@ -109,11 +111,22 @@
             )
         self.is_reachable = error is None
 
+    async def _read_next(self):
+        """Read once; at long intervals never while ``refresh`` reads the same records.
+
+        Such a read doesn't wait at the store, so ``refresh`` is not held up.
+        """
+        if self.read_delay() < SHARED_READ_DELAY_SECONDS:
+            await self._read_or_load(self.reader, self.max_wait)
+            return
+        async with self.refresh_lock:
+            await self._read_or_load(self.reader, 0.0)
+
     async def run(self):
         """Follow the partition until cancelled."""
         while True:
             try:
-                await self._read_or_load(self.reader, self.max_wait)
+                await self._read_next()
             except StoreError as error:
                 self._log_reachability(error)
                 await anyio.sleep(RETRY_DELAY_SECONDS)
