Leave default values out of the records of a pool's stream

Cause: every daemon reads every record of every pool, and most of a record was fields with their default values: 104 bytes of a started task, 85 of a task that is done, 770 of a job with two steps beside its specification.

Records stored by an earlier build are still read, and earlier builds read these.

That each daemon follows all pools remains; at ten times the size even short records are too many for it.

--- a/azurelanding/job_records.py
+++ b/azurelanding/job_records.py
@@ -3,6 +3,7 @@
 A key consists of the kind of its record and a name, such as ``job/5c0e7a21d94b36f8``.
 """
 
+import attrs
 import msgspec
 
 from azurelanding.jobs import TaskId, TaskState
@@ -46,11 +47,35 @@
     return TaskId(job, int(occurrence), int(step), int(index))
 
 
+def _without_defaults(value):
+    """Return the fields of an attrs instance that differ from their defaults.
+
+    Every daemon reads every record, and most fields of most records have them.
+    """
+    if isinstance(value, tuple):
+        return [_without_defaults(item) for item in value]
+    if not attrs.has(type(value)):
+        return value
+    fields = {}
+    for field in attrs.fields(type(value)):
+        content = getattr(value, field.name)
+        default = field.default
+        if isinstance(default, attrs.Factory):
+            default = default.factory()
+        if content != default:
+            fields[field.name] = _without_defaults(content)
+    return fields
+
+
 def encode_record(record):
-    """Return the encoded key and value of ``record``."""
+    """Return the encoded key and value of ``record``.
+
+    >>> encode_record(TaskChanged(TaskId("5c0e", 0, 1, 17), TaskState(last_run=2)))
+    ('task/5c0e.0.1.17', b'{"last_run":2}')
+    """
     key = record_key(record)
     body = record.state if isinstance(record, TaskChanged) else record
-    return encode_key(key), msgspec.json.encode(body)
+    return encode_key(key), msgspec.json.encode(_without_defaults(body))
 
 
 def encode_drop(key):
