Read the late answers of workers, and call on a second connection meanwhile

The leases of workers that were up ran out, and the ends that they listed were never read.

Cause: the answer to `hold` had 0.35 s after its wait, connecting included. On a link whose queue is longer than that, each call timed out, which dropped the answer under way and paid for a new connection through the same queue; none could ever succeed, so the lease ran out however long the link took to drain.

Evidence: in the worker i-cba460d5fe was up, carried out two starts at 36.44 and listed their ends, while every `hold` from 36.36 on ended by TimeoutError until its runs were freed at 42.77.

Now a call is given up only after a third of a lease. When its answer is overdue, a second connection makes the calls meanwhile, so a silent connection is found as early as before, and the answer that comes first is used. How late is overdue follows the answers seen, so that a link that is always slow gets no second call for each.

As before, an overdue worker's lease is not extended until it answers.

--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -30,6 +30,8 @@
 ORDER_TIMEOUT_SECONDS = 0.35
 """Timeout of an order; some fifty times the usual response time. Repeating an
 order does no harm."""
+HOLD_CALLS_PER_LEASE = 3
+"""Number of unanswered ``hold`` calls within a lease, which gives their timeout."""
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD_RUN,
@@ -114,17 +116,24 @@
     of the worker that it is meant for. Calls raise ``WorkerNoResponseError`` without an
     answer, ``WorkerEndedError`` when another incarnation answers and
     ``WorkerRefusedError`` when the worker refuses.
+
+    ``hold_timeout`` is the timeout of a ``hold`` call after its wait, in seconds.
     """
 
-    def __init__(self, worker, epoch, connection):
+    def __init__(self, worker, epoch, connection, hold_timeout):
         self.worker = worker
         self.epoch = epoch
         self.connection = connection
+        self.hold_timeout = hold_timeout
 
     @classmethod
-    def from_config(cls, worker, epoch):
-        """Return a client for a ``WorkerEntry`` that sends ``epoch`` with each call."""
-        return cls(worker, epoch, HttpClient(worker.address, ORDER_TIMEOUT_SECONDS))
+    def from_config(cls, worker, epoch, lease):
+        """Return a client for a ``WorkerEntry`` that sends ``epoch`` with each call.
+
+        ``lease`` in seconds is that of what runs on the worker.
+        """
+        connection = HttpClient(worker.address, ORDER_TIMEOUT_SECONDS)
+        return cls(worker, epoch, connection, lease / HOLD_CALLS_PER_LEASE)
 
     async def _call(self, name, values, timeout=None):
         headers = (
@@ -167,7 +176,7 @@
         values = {"lastSeen": last_seen, "waitMs": int(wait * MS_PER_SECOND)}
         if lease_end is not None:
             values["deadlineMs"] = int(lease_end * MS_PER_SECOND)
-        content = await self._call("hold", values, ORDER_TIMEOUT_SECONDS + wait)
+        content = await self._call("hold", values, self.hold_timeout + wait)
         try:
             return decode_report(content)
         except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -53,10 +53,11 @@
                 self._drop(worker_id)
 
     def _add(self, entry, task_group):
+        lease = self.daemon.site.timing.longest_lease
         link = WorkerLink(
             entry,
-            lambda worker: self.daemon.make_worker_client(worker, self.epoch),
-            self.daemon.site.timing.longest_lease,
+            lambda worker: self.daemon.make_worker_client(worker, self.epoch, lease),
+            lease,
             self.wake,
             self._is_startable,
         )
@@ -74,7 +75,8 @@
     async def _serve(self, link, scope):
         with scope:
             async with anyio.create_task_group() as task_group:
-                task_group.start_soon(link.follow)
+                for follow in link.followers():
+                    task_group.start_soon(follow)
                 for client in link.order_clients:
                     task_group.start_soon(link.send_orders, client)
         with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_SECONDS):
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -41,10 +41,11 @@
 class ServiceClients:
     """Factories for the service clients of the daemon, and codecs for stored records.
 
-    ``make_store()``, ``make_worker_client(entry, epoch)``, ``make_hosts(holder)`` and
-    ``make_advice()`` return clients; the last two are ``None`` if the site has no such
-    service. ``decode_operator(record)`` and ``decode_worker(record)`` decode records of
-    ``operator_topic`` and ``workers_topic``. ``encode_wave(number, is_complete)``
+    ``make_store()``, ``make_worker_client(entry, epoch, lease)``,
+    ``make_hosts(holder)`` and ``make_advice()`` return clients; the last two are
+    ``None`` if the site has no such service. ``decode_operator(record)`` and
+    ``decode_worker(record)`` decode records of ``operator_topic`` and
+    ``workers_topic``. ``encode_wave(number, is_complete)``
     returns the record that reports a wave to the operator in ``status_topic``.
     """
 
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -7,10 +7,12 @@
 from azurelanding.standins.platform_worker import WorkerModel
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
+    ListedRun,
     Refusal,
     StartOrder,
     WorkerNoResponseError,
     WorkerRefusedError,
+    WorkerReport,
 )
 from azurelanding.worker_link import WorkerLink
 
@@ -102,3 +104,61 @@
     def test_refusal_as_fenced_marks_the_link_fenced(self):
         link = self.start(ScriptedClient(refused(Refusal.FENCED)))
         self.assertTrue(link.is_fenced)
+
+
+class HoldClient:
+    """Answers ``hold`` with the given reports in turn, the first of them after a delay.
+
+    After the last report, calls are not answered.
+    """
+
+    def __init__(self, delay, *reports):
+        self.delay = delay
+        self.reports = list(reports)
+
+    async def hold(self, last_seen, lease_end=None, wait=0.0):
+        await anyio.sleep(self.delay if self.reports else float("inf"))
+        self.delay = 0.0
+        return self.reports.pop(0)
+
+
+def make_report(clock, run):
+    """Return a report that lists one run."""
+    return WorkerReport(clock, 1, (ListedRun(TASK, run, "", 0.5, 0.0),), ())
+
+
+class HoldTest(testtools.TestCase):
+    """The ``hold`` calls of one worker, over two connections."""
+
+    def follow(self, seconds, first, second):
+        """Return the link after it was followed for some time over two clients."""
+        clients = iter((first, second, None, None))
+
+        async def main():
+            link = WorkerLink(
+                WorkerModel("w", "cuts").entry(),
+                lambda entry: next(clients),
+                6.0,
+                lambda: None,
+                lambda task: True,
+            )
+            with anyio.move_on_after(seconds):
+                async with anyio.create_task_group() as task_group:
+                    for follow in link.followers():
+                        task_group.start_soon(follow)
+            return link
+
+        return anyio.run(main)
+
+    def test_reports_are_read_while_a_connection_is_silent(self):
+        link = self.follow(1.0, HoldClient(0.0), HoldClient(0.0, make_report(5.0, 1)))
+        self.assertEqual({KEY}, link.listed_runs.keys())
+
+    def test_late_answer_is_read_although_another_connection_calls(self):
+        link = self.follow(1.5, HoldClient(0.9, make_report(5.0, 1)), HoldClient(0.0))
+        self.assertEqual({KEY}, link.listed_runs.keys())
+
+    def test_report_that_was_overtaken_is_ignored(self):
+        late, newer = make_report(5.0, 1), make_report(6.0, 2)
+        link = self.follow(1.5, HoldClient(0.9, late), HoldClient(0.0, newer))
+        self.assertEqual({(TASK, 2)}, link.listed_runs.keys())
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -2,9 +2,10 @@
 
 The calls to a worker use a few connections, each with a task of its own. One repeats
 the ``hold`` call, a long poll that extends the lease and returns a report when a run
-ends; the others send orders. An unanswered order may still be carried out much
-later. A start is therefore repeated until it is answered, and a run that must no
-longer start is stopped: the worker remembers the stop and refuses a late start.
+ends. While its answer is overdue, a second one makes the calls, and whichever answer
+comes first is used. The others send orders. An unanswered order may still be carried
+out much later. A start is therefore repeated until it is answered, and a run that must
+no longer start is stopped: the worker remembers the stop and refuses a late start.
 """
 
 import collections
@@ -12,6 +13,7 @@
 import anyio
 import structlog
 
+from azurelanding.answer_timeout import AnswerTimeout
 from azurelanding.run_progress import RunProgress
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import (
@@ -31,6 +33,11 @@
 two extensions of the lease."""
 REPORT_DELAY_SECONDS = 0.2
 """How late a report may be; several times the latency between availability zones."""
+SHORTEST_OVERDUE_SECONDS = 0.35
+"""How late the answer to a ``hold`` call has to be before another connection calls."""
+OVERDUE_CALLS_PER_LEASE = 6
+"""Limits how late an answer may be, so that a silent connection is found early in the
+lease even where answers are usually late."""
 ORDER_CONNECTION_COUNT = 2
 """Connections for orders; an unanswered order on one does not delay the others."""
 RETRY_DELAY_SECONDS = 0.15
@@ -65,7 +72,10 @@
     - ``leased_until`` is the ``boot_time`` after which nothing runs on the worker
       unless its lease is extended again.
     - ``has_answered`` is set once the worker answered under this epoch.
-    - ``last_hold_failed`` is set from an unanswered ``hold`` call to the next report.
+    - ``last_hold_failed`` is set from an unanswered or overdue ``hold`` call to the
+      next report.
+    - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
+      flight on the first connection is overdue, ``None`` without such a call.
 
     ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
     ``notify`` is called when there are ends, losses or refusals to process, and
@@ -75,6 +85,7 @@
     def __init__(self, entry, make_client, lease, notify, is_startable):
         self.entry = entry
         self.hold_client = make_client(entry)
+        self.backup_client = make_client(entry)
         self.order_clients = [make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)]
         self.lease = lease
         self.notify = notify
@@ -96,6 +107,10 @@
         self.has_ended = False
         self.is_fenced = False
         self.last_hold_failed = False
+        self.overdue_at = None
+        self.overdue_delay = AnswerTimeout(
+            SHORTEST_OVERDUE_SECONDS, lease / OVERDUE_CALLS_PER_LEASE
+        )
         self.last_report_at = None
         self.clock = None
         longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
@@ -140,28 +155,58 @@
             )
             self.leased_until = max(self.leased_until, end)
 
+    def followers(self):
+        """Return the functions that follow the worker, one for each connection."""
+        return [self.follow, self.follow_while_overdue]
+
     async def follow(self):
         """Extend the lease and read the reports until the worker has ended."""
         while not (self.has_ended or self.is_fenced):
-            await self._hold()
-            if self.ends:
-                # The next call would return the same ends immediately.
-                with anyio.move_on_after(HOLD_WAIT_SECONDS):
-                    await self.ends_recorded.wait_until(lambda: not self.ends)
+            wait = self._next_wait()
+            self.overdue_at = boot_time() + wait + self.overdue_delay.seconds
+            await self._hold(self.hold_client, wait)
+            self.overdue_at = None
+            await self._until_ends_recorded()
         self.notify()
 
-    async def _hold(self):
-        """Make one ``hold`` call and apply its report or its error."""
+    async def follow_while_overdue(self):
+        """Make the calls while the answer on the first connection is overdue."""
+        while not (self.has_ended or self.is_fenced):
+            now, overdue_at = boot_time(), self.overdue_at
+            if overdue_at is None or now < overdue_at:
+                seconds = self.overdue_delay.seconds
+                await anyio.sleep(seconds if overdue_at is None else overdue_at - now)
+                continue
+            if self.last_report_at is None or self.last_report_at < overdue_at:
+                self._record_no_response("the answer to hold is overdue")
+            await self._hold(self.backup_client, self._next_wait())
+            await self._until_ends_recorded()
+        self.notify()
+
+    async def _until_ends_recorded(self):
+        """Wait for new ends to be recorded, as the next call would return them again.
+
+        The wait is bounded, because the next call also extends the lease.
+        """
+        if self.ends:
+            with anyio.move_on_after(HOLD_WAIT_SECONDS):
+                await self.ends_recorded.wait_until(lambda: not self.ends)
+
+    def _next_wait(self):
+        """Return how long the next ``hold`` call may wait at the worker, in seconds."""
         is_quick = self.clock is None or self.last_hold_failed or self.ends
-        wait = 0.0 if is_quick else HOLD_WAIT_SECONDS
+        return 0.0 if is_quick else HOLD_WAIT_SECONDS
+
+    async def _hold(self, client, wait):
+        """Make one ``hold`` call and apply its report or its error."""
         self._extend_leased_until()
         sent_at = boot_time()
         try:
-            report = await self.hold_client.hold(
-                self.acknowledged, self.lease_end(), wait
-            )
+            report = await client.hold(self.acknowledged, self.lease_end(), wait)
         except WorkerNoResponseError as error:
-            self._record_no_response(error)
+            if self.last_report_at is None or self.last_report_at < sent_at:
+                self._record_no_response(str(error))
+            self.overdue_delay.record_no_answer(self.overdue_delay.seconds)
             await anyio.sleep(RETRY_DELAY_SECONDS)
         except WorkerEndedError as error:
             self._mark_ended(str(error))
@@ -169,13 +214,23 @@
             self._handle_refusal(error)
             await anyio.sleep(RETRY_DELAY_SECONDS)
         else:
-            self._apply_report(report, sent_at)
+            delay = boot_time() - sent_at - wait
+            if delay >= 0.0:
+                self.overdue_delay.record_answer(delay)
+            if not self._is_outdated(report):
+                self._apply_report(report, sent_at)
+
+    def _is_outdated(self, report):
+        """Return whether a report was overtaken by one on the other connection."""
+        if self.clock is None:
+            return False
+        if report.born != self.born:
+            return report.born < self.born
+        return report.clock < self.clock[0]
 
-    def _record_no_response(self, error):
+    def _record_no_response(self, reason):
         if not self.last_hold_failed:
-            logger.info(
-                "worker does not answer", worker=self.entry.id, reason=str(error)
-            )
+            logger.info("worker does not answer", worker=self.entry.id, reason=reason)
         self.last_hold_failed = True
 
     def _mark_ended(self, reason):
@@ -346,6 +401,5 @@
 
     async def close(self):
         """Close the connections; may be called twice."""
-        await self.hold_client.close()
-        for client in self.order_clients:
+        for client in (self.hold_client, self.backup_client, *self.order_clients):
             await client.close()
