Keep an ended run ended when its start is answered later

What callers saw: nothing directly; the workers got a superfluous stop for each such run, over links that were full, and the log said that a run was freed which had ended.

Cause: `_start` entered the run into `runs` after its call without a look at whether a report had brought the run's end meanwhile, which takes it out. The next report didn't list the run, so it was freed as `not listed by its worker` and stopped.

The test was seen failing with the run in `runs` after its end.

Now a start counts from its answer only while the run is still expected.

--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -21,14 +21,19 @@
 
 
 class ScriptedClient:
-    """Raises the given errors on starts in turn, then succeeds; records its calls."""
+    """Raises the given errors on starts in turn, then succeeds; records its calls.
+
+    ``during_start`` is called while a start is in flight.
+    """
 
     def __init__(self, *errors):
         self.errors = list(errors)
         self.calls = []
+        self.during_start = lambda: None
 
     async def start(self, order, lease_end):
         self.calls.append("start")
+        self.during_start()
         if self.errors:
             raise self.errors.pop(0)
 
@@ -49,7 +54,7 @@
 class StartTest(testtools.TestCase):
     """One start order, from its first call to its outcome."""
 
-    def start(self, client, is_startable=True):
+    def start(self, client, is_startable=True, is_dropped_in_flight=False):
         """Return the link after a start order sent over ``client``."""
 
         async def main():
@@ -63,6 +68,8 @@
             link.clock = (1.0, boot_time())
             order = StartOrder(TASK, 1, "spec")
             link.enqueue(order)
+            if is_dropped_in_flight:
+                client.during_start = lambda: link.drop_run(KEY)
             with anyio.fail_after(5):
                 await link._start(client, order)
             return link
@@ -105,6 +112,10 @@
         link = self.start(ScriptedClient(refused(Refusal.FENCED)))
         self.assertTrue(link.is_fenced)
 
+    def test_run_whose_end_was_recorded_before_its_start_was_answered_stays_ended(self):
+        link = self.start(ScriptedClient(), is_dropped_in_flight=True)
+        self.assertEqual({}, link.runs)
+
 
 class HoldClient:
     """Answers ``hold`` with the given reports in turn, the first of them after a delay.
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -361,7 +361,7 @@
                 continue
             try:
                 await client.start(order, end)
-                self.runs[key] = boot_time()
+                self._count_as_started(key)
                 return
             except WorkerNoResponseError as error:
                 may_have_started = may_have_started or error.sent
@@ -372,13 +372,21 @@
                 refusal = error.reason
                 if refusal is Refusal.OLD_RUN and may_have_started:
                     # An earlier attempt started it and it ended: a report states how.
-                    self.runs[key] = boot_time()
+                    self._count_as_started(key)
                     return
                 if refusal is not Refusal.LEASE_OVER:
                     break
                 await anyio.sleep(RETRY_DELAY_SECONDS)
         await self._settle_refused_start(client, order, refusal, may_have_started)
 
+    def _count_as_started(self, key):
+        """Let the reports show from now on whether a run is lost.
+
+        Its end may already be recorded, if a report came before the answer.
+        """
+        if key in self.runs:
+            self.runs[key] = boot_time()
+
     async def _settle_refused_start(self, client, order, refusal, may_have_started):
         """Make sure that a start that was given up is not carried out late."""
         key = (order.task, order.run)
@@ -389,8 +397,7 @@
         if may_have_started:
             # From now on the reports show whether the run had started after all.
             await self._call_until_answered(client.stop, order.task, order.run)
-            if key in self.runs:
-                self.runs[key] = boot_time()
+            self._count_as_started(key)
         elif key in self.runs and not (self.has_ended or self.is_fenced):
             self.not_started.append((key, refusal))
         self.notify()
