Apply a task's record again once its job's record is known

Callers saw nothing of this yet: found by reading, for tasks that run twice. A daemon that loads a stream reads it in pages, jobs before tasks, and follows it from the end at the first page. A job that is stored and placed between the two pages has its task's record on the later page, where the job is unknown. The record had no effect, but its offset was noted, so it was taken for a repeat when it was read again after the job. The daemon then saw the task as not placed: it counted the job as pending, and started the task again if it took the pool over. The window is the time of a load, which grows with the records of a site and with the time that they take on the daemon's link.

A record on an unknown job is now left as if it had not been read. Cancellations and ends are treated alike.

test_task_record_that_precedes_its_job_counts_when_read_again was seen failing before the change (QUEUED in place of RUNNING).

--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -104,8 +104,12 @@
         self.offsets = {}
 
     def apply(self, key, record, offset):
-        """Apply one record, or drop its key if ``record`` is ``None``."""
-        if offset <= self.offsets.get(key, -1):
+        """Apply one record, or drop its key if ``record`` is ``None``.
+
+        A record on a job that is not known yet has no effect, also not on the same
+        record when it is read again after that of the job.
+        """
+        if offset <= self.offsets.get(key, -1) or self._is_premature(record):
             return
         self.offsets[key] = offset
         if record is None:
@@ -125,13 +129,22 @@
             case WorkersMissing():
                 self.missing[record.pool] = record.since
 
+    def _is_premature(self, record):
+        """Return whether a record is on a job whose own record was not applied."""
+        match record:
+            case TaskChanged():
+                return record.task.job not in self.jobs
+            case JobCancelled() | JobEnded():
+                return record.job not in self.jobs
+        return False
+
     def _submit(self, job):
         if job.id not in self.jobs:
             self.jobs[job.id] = self.active[job.id] = JobState(job)
 
     def _cancel(self, record):
-        state = self.jobs.get(record.job)
-        if state is not None and state.cancelled_at is None:
+        state = self.jobs[record.job]
+        if state.cancelled_at is None:
             state.cancelled_at = record.at
 
     def _set_task(self, record):
--- a/azurelanding/tests/test_ledger.py
+++ b/azurelanding/tests/test_ledger.py
@@ -59,6 +59,16 @@
         self.assertEqual({}, ledger_fold.ledger.active)
         self.assertEqual(JobPhase.COMPLETED, ledger_fold.ledger.jobs[JOB.id].phase)
 
+    def test_task_record_that_precedes_its_job_counts_when_read_again(self):
+        # The pages of a load are read one after another: a later one can hold a task
+        # whose job was stored after the page with the jobs was read.
+        placed = TaskChanged(FIRST, TaskState(1, {1: "w"}))
+        ledger = Ledger()
+        ledger.apply(record_key(placed), placed, 8)
+        fold(ledger, JobSubmitted(JOB), placed, start=7)
+        self.assertEqual(JobPhase.RUNNING, ledger.jobs[JOB.id].phase)
+        self.assertEqual({(FIRST, 1): None}, ledger.placed["w"])
+
     def test_task_without_attempts_left_fails_the_job(self):
         failed = TaskChanged(FIRST, TaskState(2, {}, failures=2))
         ledger = fold(Ledger(), JobSubmitted(JOB), failed)
