Keep the records that a daemon stores while it loads a stream again

A controller applies its decisions as soon as they are stored. A load that was under way, because the store had dropped the records that were to be read next, replaced this state by what its pages held, which could be older than the last decisions. Until the next read, the controller took tasks that it had just placed for tasks to be placed, and the load itself woke it to decide. The fleet controller's plans were exposed in the same way, so the repair is in the follower that both use.

Records that are read or stored during a load are now applied again on top of it. They include everything from the end that the load began at, so the place in the stream no longer moves back, and a load that began before the last one applied is dropped.

test_placement_stored_during_a_load_is_kept was seen failing before the change (no active run in place of one). The line on a load now states how long it took.

--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -16,7 +16,7 @@
 from azurelanding.fleet_records import WaveProgress
 from azurelanding.fleet_workers import HostPhase
 from azurelanding.host_calls import HostBusyError, HostCallError, HostFencedError
-from azurelanding.store import Producer, StoredRecord, StoreError
+from azurelanding.store import Producer, StoreError, stored_records
 from azurelanding.utils import boot_time
 
 logger = structlog.get_logger()
@@ -208,8 +208,7 @@
         if not records:
             return
         offset = await self.appender.append(records, APPEND_TIMEOUT_SECONDS)
-        for number, (key, value) in enumerate(records):
-            self.fold.apply_stored(StoredRecord(key, value, offset + number))
+        self.daemon.fleet_follower.apply(stored_records(records, offset))
 
     async def _report_wave(self, wave, is_complete):
         """Append the status of a wave for the operator, once for each status."""
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -5,7 +5,7 @@
 from azurelanding.appender import Appender
 from azurelanding.job_records import JobRecordError, decode_key, decode_record
 from azurelanding.ledger import Ledger
-from azurelanding.store import Producer
+from azurelanding.store import Producer, stored_records
 from azurelanding.topic_follower import TopicFollower
 
 logger = structlog.get_logger()
@@ -74,10 +74,7 @@
 
     def apply_appended(self, records, offset):
         """Apply records that this daemon has just appended, the first at ``offset``."""
-        for index, (key_text, value) in enumerate(records):
-            key, decoded = decode_record(key_text, value)
-            self.ledger.apply(key, decoded, offset + index)
-        self.follower.changes.notify()
+        self.follower.apply(stored_records(records, offset))
 
     async def close(self):
         """Close the connections; may be called twice."""
--- a/azurelanding/store.py
+++ b/azurelanding/store.py
@@ -48,6 +48,14 @@
     offset: int
 
 
+def stored_records(records, offset):
+    """Return pairs of key and value as ``StoredRecord``s, the first at ``offset``."""
+    return [
+        StoredRecord(key, value, offset + index)
+        for index, (key, value) in enumerate(records)
+    ]
+
+
 @attrs.frozen
 class ReadRecords:
     """The result of one read; ``end`` is the offset of the next append."""
--- a/azurelanding/tests/test_topic_follower.py
+++ b/azurelanding/tests/test_topic_follower.py
@@ -3,8 +3,13 @@
 import anyio
 import testtools
 
+from azurelanding.job_records import encode_record
+from azurelanding.jobs import TaskId, TaskState
+from azurelanding.ledger import JobSubmitted, TaskChanged
+from azurelanding.pool_stream import TOPIC, PoolStream
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.store import Producer, ReadRecords
+from azurelanding.tests.platform_world import make_job
 from azurelanding.topic_follower import TopicFollower
 
 
@@ -76,3 +81,33 @@
             return fold.keys
 
         self.assertEqual(["a", "b", "c"], anyio.run(main))
+
+
+class ReloadTest(testtools.TestCase):
+    """A load while the records that it replaces are changed by this daemon."""
+
+    def test_placement_stored_during_a_load_is_kept(self):
+        job = make_job()
+        task = TaskId(job.id, 0, 0, 0)
+        submitted = [encode_record(JobSubmitted(job))]
+        placed = [encode_record(TaskChanged(task, TaskState(1, {1: "w"})))]
+
+        async def main():
+            store, producer = StoreModel(1), Producer("p", 1)
+            stream = PoolStream(0, store.client, "d0", lambda partition: 0.0)
+            partition = store.partitions[TOPIC, 0]
+            partition.append(submitted, producer, 1)
+            await stream.follower.refresh()
+            loader = DelayedClient(store.client())
+            loader.released = anyio.Event()
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(stream.follower._load, loader)
+                await anyio.sleep(0.01)
+                offset = partition.append(placed, producer, 2)
+                stream.apply_appended(placed, offset)
+                loader.released.set()
+            return stream.ledger
+
+        ledger = anyio.run(main)
+        self.assertEqual({1: "w"}, ledger.active[job.id].task(task).active)
+        self.assertEqual({(task, 1): None}, ledger.placed["w"])
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -20,6 +20,8 @@
     ``read_delay()`` returns the seconds between two reads, and ``max_wait`` is the
     longest time in seconds that the store waits for a record before it responds.
     ``caught_up_at`` is when the last read began that reached the end of the partition.
+    ``applied_during_load`` holds, by the number of each load under way, the records
+    that were applied since it began.
     """
 
     def __init__(self, topic, partition, make_client, fold, read_delay, max_wait):
@@ -34,6 +36,9 @@
         self.caught_up_at = -1.0
         self.is_reachable = True
         self.refresh_lock = anyio.Lock()
+        self.load_count = 0
+        self.newest_load = 0
+        self.applied_during_load = {}
         self.changes = Notifier()
 
     @property
@@ -41,43 +46,60 @@
         """Return whether the newest records were loaded at least once."""
         return self.next_offset is not None
 
+    def apply(self, records):
+        """Apply records that were read, or that this daemon has just stored."""
+        for record in records:
+            self.fold.apply_stored(record)
+        for applied in self.applied_during_load.values():
+            applied.extend(records)
+        self.changes.notify()
+
     async def _load(self, client):
-        """Replace the state by the newest record of each key."""
+        """Replace the state by the newest record of each key.
+
+        A load takes long where the link is thin. The records applied meanwhile may be
+        newer than what was loaded, so they are applied again on top. They include all
+        from the end that the load began at, so ``next_offset`` never moves back.
+        """
         started_at = anyio.current_time()
-        newest = await client.newest(self.topic, self.partition)
+        self.load_count += 1
+        number = self.load_count
+        applied = self.applied_during_load[number] = []
+        try:
+            newest = await client.newest(self.topic, self.partition)
+        finally:
+            del self.applied_during_load[number]
+        if number < self.newest_load:
+            # The state is that of a load which began later.
+            return
+        self.newest_load = number
         self.fold.clear()
         for record in sorted(newest.records, key=self.fold.load_order):
             self.fold.apply_stored(record)
-        self.next_offset = newest.end
-        self.caught_up_at = started_at
+        self.next_offset = max(newest.end, self.next_offset or 0)
+        self.caught_up_at = max(self.caught_up_at, started_at)
         logger.info(
             "topic loaded",
             topic=self.topic,
             partition=self.partition,
             records=len(newest.records),
             next_offset=newest.end,
+            seconds=round(anyio.current_time() - started_at, 3),
         )
-        self.changes.notify()
+        self.apply(applied)
 
     async def _read(self, client, max_wait):
         started_at = anyio.current_time()
         start = self.next_offset
         batch = await client.read(self.topic, self.partition, start, max_wait)
-        if start > self.next_offset:
-            # A load that began before this read has moved ``next_offset`` back.
-            # If these records were applied now, those in between would be skipped.
-            return
         new_records = [
             record for record in batch.records if record.offset >= self.next_offset
         ]
-        for record in new_records:
-            self.fold.apply_stored(record)
         if new_records:
+            self.apply(new_records)
             self.next_offset = new_records[-1].offset + 1
         if self.next_offset >= batch.end:
             self.caught_up_at = max(self.caught_up_at, started_at)
-        if new_records:
-            self.changes.notify()
 
     async def _read_or_load(self, client, max_wait):
         """Read once, or load the newest records if the next are no longer retained."""
