Pace starts below the rate of the host's link

One controller placed 453 tasks in a second, about 1.2 MB, onto a link that carries 0.6 MB/s. The rest waited up to 19 s in front of the order connections and in the link's own queue; `hold` calls waited behind them and timed out, their repeats added to the load, and leases ran out on workers that were up. A task was bound to such a queue while more urgent ones came in behind it.

The controllers of a daemon now share a budget of bytes for starts, at 0.6 of the link's rate, in bursts of 0.1 s. A pass starts the most urgent ready tasks that the budget pays for; the rest stay ready and unbound, and the next pass comes when half a burst is there again. Gangs go whole, and a start larger than the burst goes too: the balance goes below zero, and what follows waits until it is paid for. Controllers that wait share the rate equally. Repeats of unanswered starts count, so a link that loses calls gets fewer new starts rather than more. Without a known rate nothing is limited. What waits in the link is then never much more than a burst, so calls that extend leases get through whatever the demand, at any number of workers.

--- a/azurelanding/job_placement.py
+++ b/azurelanding/job_placement.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -221,13 +222,18 @@
     return []
 
 
-def place(ready, workers):
-    """Return the ``PlacedTask``s of a ready step and allocate their resources."""
+def place(ready, workers, limit=math.inf):
+    """Return the ``PlacedTask``s of a ready step and allocate their resources.
+
+    At most ``limit`` tasks are placed; a gang is whole or not placed at all.
+    """
     if ready.step.gang:
         is_complete = len(ready.tasks) == ready.step.count
         return _place_gang(ready, workers) if is_complete else []
     placed = []
     for task_id in ready.tasks:
+        if len(placed) >= limit:
+            break
         worker = pick_worker(ready, workers, ready.state.task(task_id).failed_on)
         if worker is None:
             continue
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -19,6 +19,7 @@
 from azurelanding.pool_links import PoolLinks
 from azurelanding.pool_stops import PoolStops, log_run
 from azurelanding.pool_stream import TOPIC
+from azurelanding.start_budget import OVERHEAD_BYTES, order_bytes
 from azurelanding.store import Producer, StoreError, StoreFencedError
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import Refusal, StartOrder
@@ -65,7 +66,10 @@
         self.appender = Appender(
             TOPIC, stream.partition, stream.make_client(), producer, self.end_control
         )
-        self.pool_links = PoolLinks(pool, epoch, stream.ledger, daemon, self.wake)
+        self.start_budget = daemon.start_budget
+        self.pool_links = PoolLinks(
+            pool, epoch, stream.ledger, daemon, self.wake, self._count_start
+        )
         self.links = self.pool_links.links
         self.task_backoffs = {}
         self.worker_failures = WorkerFailureTracker()
@@ -94,6 +98,7 @@
         Raises ``ControlLostError`` once another daemon controls it.
         """
         await self._take_over()
+        self.start_budget.join(self, boot_time())
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self.appender.run)
             task_group.start_soon(self._follow_stream)
@@ -143,7 +148,8 @@
 
     async def _decide_until_lost(self, task_group):
         while not self.is_lost:
-            with anyio.move_on_after(CHECK_INTERVAL_SECONDS):
+            budget_wait = self.start_budget.seconds_to_wait(self, boot_time())
+            with anyio.move_on_after(min(CHECK_INTERVAL_SECONDS, budget_wait)):
                 await self.decision_requested.wait_until(lambda: self.needs_decision)
             if self.needs_decision:
                 await anyio.sleep(BATCH_SECONDS)
@@ -332,26 +338,43 @@
         return False
 
     def _place(self, draft):
-        """Place the ready tasks; return pairs of a worker and its ``StartOrder``."""
+        """Place the ready tasks; return pairs of a worker and its ``StartOrder``.
+
+        Tasks for which the link has no room now stay ready, the least urgent ones.
+        """
         now = time.time()
         ready_steps = [
             ready
             for state in draft.jobs()
             for ready in job_placement.ready_steps(state, now, self._is_backing_off)
         ]
+        self.start_budget.set_waiting(self, False)
         if not ready_steps:
             return []
         free_capacity = self._free_capacity(draft, self.daemon.cordoned())
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
         starts = []
         for ready in ready_steps:
+            limit = self.start_budget.affordable(
+                self, OVERHEAD_BYTES + len(ready.state.job.spec), boot_time()
+            )
+            if not limit:
+                break
             usable_workers = self.permits.usable_workers(
                 ready, free_capacity, self.wake
             )
-            for placed in job_placement.place(ready, usable_workers):
+            for placed in job_placement.place(ready, usable_workers, limit):
                 starts.append(self._start(draft, ready, placed))
+                self._count_start(starts[-1][1])
+        has_more = len(starts) < sum(len(ready.tasks) for ready in ready_steps)
+        is_spent = not self.start_budget.affordable(self, 1, boot_time())
+        self.start_budget.set_waiting(self, has_more and is_spent)
         return starts
 
+    def _count_start(self, order):
+        """Count the bytes of a start, or of its repetition, against the budget."""
+        self.start_budget.spend(self, order_bytes(order))
+
     def _start(self, draft, ready, placed):
         job, task_id = ready.state.job, placed.task
         task = draft.job(job.id).task(task_id).copy()
@@ -403,6 +426,7 @@
             self.stops.stop(worker, task_id, run, "worker about to end")
 
     async def _close(self):
+        self.start_budget.leave(self)
         self.pool_links.close()
         with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
             await self.appender.close()
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -13,15 +13,17 @@
 
     ``registered`` maps the workers that are registered for the pool to their entries,
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
-    ``wake`` is called when a link has new reports or refusals to process.
+    ``wake`` is called when a link has new reports or refusals to process, and
+    ``count_repeat(order)`` before a start is sent again.
     """
 
-    def __init__(self, pool, epoch, ledger, daemon, wake):
+    def __init__(self, pool, epoch, ledger, daemon, wake, count_repeat):
         self.pool = pool
         self.epoch = epoch
         self.ledger = ledger
         self.daemon = daemon
         self.wake = wake
+        self.count_repeat = count_repeat
         self.links = {}
         self.scopes = {}
         self.registered = {}
@@ -60,6 +62,7 @@
             lease,
             self.wake,
             self._is_startable,
+            self.count_repeat,
         )
         for key in self.ledger.placed.get(entry.id, ()):
             link.adopt_run(key)
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -19,8 +19,10 @@
 from azurelanding.pool_stream import TOPIC, PoolStream
 from azurelanding.served_metrics import ServedMetrics
 from azurelanding.site_state import OperatorFold, WorkersFold
+from azurelanding.start_budget import StartBudget
 from azurelanding.start_permits import StartPermits
 from azurelanding.topic_follower import TopicFollower
+from azurelanding.utils import boot_time
 
 logger = structlog.get_logger()
 
@@ -75,6 +77,7 @@
         rank = reserve_rank(site.link_rate)
         self.name = member_name(site.name, incarnation, rank)
         self.metrics = ServedMetrics()
+        self.start_budget = StartBudget.from_config(site.link_rate, boot_time())
         self.registry = WorkerRegistry()
         self.operator = OperatorFold(service_clients.decode_operator)
         self.fleet = FleetFold()
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -87,13 +87,17 @@
 class World:
     """A simulated store, workers and hosts, and daemons, in one process."""
 
-    def __init__(self, partitions=4, lease=LEASE_SECONDS, holder_pause=0.1):
+    def __init__(
+        self, partitions=4, lease=LEASE_SECONDS, holder_pause=0.1, link_rate=None
+    ):
         self.store = StoreModel(partitions)
         self.fleet = WorkerFleet()
         self.hosts = HostsModel(self.fleet)
         store_settings = StoreSettings("127.0.0.1:1", partitions=partitions)
         timing = Timing(longest_lease=lease, holder_pause=holder_pause)
-        self.site = Site("e", "a", "", "", "", store_settings, timing=timing)
+        self.site = Site(
+            "e", "a", "", "", "", store_settings, timing=timing, link_rate=link_rate
+        )
         self.daemons = []
 
     def add_worker(self, name, pool="cuts", **fields):
--- a/azurelanding/tests/test_job_placement.py
+++ b/azurelanding/tests/test_job_placement.py
@@ -70,6 +70,14 @@
         (ready_step,) = ready(job or make_job(steps=(step,)), state)
         return [placed.worker for placed in job_placement.place(ready_step, workers)]
 
+    def test_limit_places_part_of_a_step_but_never_part_of_a_gang(self):
+        for gang, count in ((False, 2), (True, 3)):
+            (ready_step,) = ready(make_job(steps=(make_step(3, gang=gang),)))
+            worker = make_capacity("v")
+            placed = job_placement.place(ready_step, [worker], 2)
+            self.assertEqual(count, len(placed))
+            self.assertEqual(8.0 - count, worker.cores)
+
     def test_free_capacity_is_never_exceeded(self):
         step = make_step(9, need=Resources(3.0, 1, 0))
         placed = self.place(step, make_capacity("v"), make_capacity("w"))
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -1,12 +1,14 @@
 """Test whole daemons against simulated store, workers and hosts."""
 
 import anyio
+import attrs
 import testtools
 
 from azurelanding.configuration import WaveRequest
 from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobPhase
 from azurelanding.membership import partition_of
+from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import (
     World,
     make_job,
@@ -288,6 +290,35 @@
         world = self.run_site(scenario)
         self.assertEqual({}, count_starts(world, job))
 
+    def test_urgent_task_overtakes_starts_that_the_link_has_no_room_for(self):
+        # 40 starts of 2.8 KB take 3.7 seconds at 0.6 of 50 KB/s.
+        spec = "s" * 2_400
+        steps = (make_step(40, need=Resources(0.1, 1 << 20, 0)),)
+        bulk = attrs.evolve(make_job("b" * 16, steps, priority=1), spec=spec)
+        urgent = attrs.evolve(make_job("a" * 16), spec=spec)
+
+        async def scenario(world):
+            await submit(world, bulk)
+            await until(lambda: count_starts(world, bulk))
+            await submit(world, urgent)
+            await until_phase(world, urgent, JobPhase.COMPLETED)
+            self.assertTrue(len(count_starts(world, bulk)) < 30)
+            await until_phase(world, bulk, JobPhase.COMPLETED)
+
+        world = self.run_site(scenario, link_rate=50_000.0, lease=6.0)
+        self.assertEqual([1] * 40, list(count_starts(world, bulk).values()))
+
+    def test_gang_larger_than_the_burst_of_the_link_starts(self):
+        step = make_step(12, need=Resources(0.1, 1 << 20, 0), gang=True)
+        job = attrs.evolve(make_job(steps=(step,)), spec="s" * 2_400)
+
+        async def scenario(world):
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        world = self.run_site(scenario, link_rate=50_000.0, lease=6.0)
+        self.assertEqual([1] * 12, list(count_starts(world, job).values()))
+
     def test_exception_in_a_controller_does_not_end_the_daemon(self):
         job = make_job()
 
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -54,6 +54,10 @@
 class StartTest(testtools.TestCase):
     """One start order, from its first call to its outcome."""
 
+    def setUp(self):
+        super().setUp()
+        self.repeats = []
+
     def start(self, client, is_startable=True, is_dropped_in_flight=False):
         """Return the link after a start order sent over ``client``."""
 
@@ -64,6 +68,7 @@
                 6.0,
                 lambda: None,
                 lambda task: is_startable,
+                self.repeats.append,
             )
             link.clock = (1.0, boot_time())
             order = StartOrder(TASK, 1, "spec")
@@ -80,6 +85,7 @@
         client = ScriptedClient(unanswered(), unanswered())
         link = self.start(client)
         self.assertEqual(["start"] * 3, client.calls)
+        self.assertEqual(2, len(self.repeats))
         self.assertIsNotNone(link.runs[KEY])
 
     def test_repeated_start_refused_as_old_counts_as_started(self):
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -78,11 +78,20 @@
       flight on the first connection is overdue, ``None`` without such a call.
 
     ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
-    ``notify`` is called when there are ends, losses or refusals to process, and
-    ``is_startable(task_id)`` returns whether a placed task may still start.
+    ``notify`` is called when there are ends, losses or refusals to process,
+    ``is_startable(task_id)`` returns whether a placed task may still start, and
+    ``count_repeat(order)`` is called before an unanswered start is sent again.
     """
 
-    def __init__(self, entry, make_client, lease, notify, is_startable):
+    def __init__(
+        self,
+        entry,
+        make_client,
+        lease,
+        notify,
+        is_startable,
+        count_repeat=lambda order: None,
+    ):
         self.entry = entry
         self.hold_client = make_client(entry)
         self.backup_client = make_client(entry)
@@ -90,6 +99,7 @@
         self.lease = lease
         self.notify = notify
         self.is_startable = is_startable
+        self.count_repeat = count_repeat
         self.runs = {}
         self.listed_runs = {}
         self.working_since = {}
@@ -359,6 +369,8 @@
             if end is None:
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
+            if may_have_started:
+                self.count_repeat(order)
             try:
                 await client.start(order, end)
                 self._count_as_started(key)
