Extend no lease while a freed run may still start

Cause: a start that timed out may be carried out seconds later. Once its worker's lease was over, its run was freed and placed elsewhere, and its stop queued; but the next `hold` that was answered, or another start, extended the lease again before that stop was. A late start is refused only when the lease is over, so it would then have run beside its second run. A stop that an unhealthy worker refused was given up.

Evidence: `LateStartTest` frees a run while its start is in flight: with the code before the lease was extended while the stop was unanswered (seen failing with "True is not false"), and a start answered after its run was freed was never stopped.

Now the link knows the runs whose start was sent and not settled by an answer, a stop or an end. While one of them is no longer expected, neither `hold` nor a start carries a lease, so the worker refuses the late start, or has answered the stop and refuses it for good. Stops are repeated until a worker that is unhealthy takes them.

--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -3,10 +3,11 @@
 import anyio
 import testtools
 
-from azurelanding.jobs import TaskId
+from azurelanding.jobs import RunEnd, TaskId
 from azurelanding.standins.platform_worker import WorkerModel
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
+    ListedEnd,
     ListedRun,
     Refusal,
     StartOrder,
@@ -23,13 +24,15 @@
 class ScriptedClient:
     """Raises the given errors on starts in turn, then succeeds; records its calls.
 
-    ``during_start`` is called while a start is in flight.
+    ``during_start`` and ``during_stop`` are called while such a call is in flight, and
+    ``stop_errors`` are raised on stops in turn.
     """
 
     def __init__(self, *errors):
         self.errors = list(errors)
         self.calls = []
-        self.during_start = lambda: None
+        self.during_start = self.during_stop = lambda: None
+        self.stop_errors = []
 
     async def start(self, order, lease_end):
         self.calls.append("start")
@@ -39,6 +42,9 @@
 
     async def stop(self, task, run):
         self.calls.append("stop")
+        self.during_stop()
+        if self.stop_errors:
+            raise self.stop_errors.pop(0)
 
 
 def unanswered():
@@ -117,6 +123,75 @@
         self.assertEqual({}, link.runs)
 
 
+class LateStartTest(testtools.TestCase):
+    """A start that may be carried out after its run was freed."""
+
+    def make_link(self, client):
+        link = WorkerLink(
+            WorkerModel("w", "cuts").entry(),
+            lambda entry: client,
+            6.0,
+            lambda: None,
+            lambda task: True,
+        )
+        link.clock = (1.0, boot_time())
+        link.last_report_at = boot_time()
+        return link
+
+    def free_in_flight(self, client):
+        """Return the link after its only run was freed while its start was in flight.
+
+        Second, return whether the lease was extended while the stop was in flight.
+        """
+
+        async def main():
+            link, is_extended = self.make_link(client), []
+            client.during_start = lambda: link.drop_run(KEY)
+            client.during_stop = lambda: is_extended.append(link.lease_end())
+            order = StartOrder(TASK, 1, "spec")
+            link.enqueue(order)
+            with anyio.fail_after(5):
+                await link._start(client, order)
+            return link, is_extended != [None]
+
+        return anyio.run(main)
+
+    def test_lease_is_not_extended_until_a_freed_run_is_stopped(self):
+        for errors in ((), (unanswered(),)):
+            link, is_extended = self.free_in_flight(ScriptedClient(*errors))
+            self.assertFalse(is_extended)
+            self.assertIsNotNone(link.lease_end())
+
+    def test_lease_is_not_extended_while_a_freed_run_may_start(self):
+        link = self.make_link(None)
+        link.unanswered_starts.add(KEY)
+        self.assertIsNone(link.lease_end())
+        before = link.leased_until
+        link._extend_leased_until()
+        self.assertEqual(before, link.leased_until)
+
+    def test_unhealthy_worker_is_asked_again_to_stop(self):
+        client = ScriptedClient()
+        client.stop_errors = [refused(Refusal.UNHEALTHY)]
+
+        async def main():
+            link = self.make_link(client)
+            link.unanswered_starts.add(KEY)
+            await link._stop(client, *KEY)
+            return link
+
+        link = anyio.run(main)
+        self.assertEqual(["stop", "stop"], client.calls)
+        self.assertIsNotNone(link.lease_end())
+
+    def test_reported_end_shows_that_a_run_can_not_start_any_more(self):
+        link = self.make_link(None)
+        link.unanswered_starts.add(KEY)
+        end = ListedEnd(1, *KEY, RunEnd.DONE, "")
+        link._apply_report(WorkerReport(2.0, link.born, (), (end,)), boot_time())
+        self.assertIsNotNone(link.lease_end())
+
+
 class HoldClient:
     """Answers ``hold`` with the given reports in turn, the first of them after a delay.
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -58,6 +58,8 @@
     - ``runs`` maps each run that may be on the worker to the ``boot_time`` from which
       a report that doesn't list it shows that it is lost; ``None`` while its start is
       unanswered.
+    - ``unanswered_starts`` are the runs whose start was sent and that the worker may
+      still start: no answer, stop or end has shown otherwise.
     - ``listed_runs`` are the runs in progress in the last report, ``working_since`` the
       times since when each of them works without a break, ``progress`` their
       ``RunProgress``.
@@ -91,6 +93,7 @@
         self.notify = notify
         self.is_startable = is_startable
         self.runs = {}
+        self.unanswered_starts = set()
         self.listed_runs = {}
         self.working_since = {}
         self.progress = {}
@@ -140,16 +143,22 @@
 
         It is ``None`` before the worker's clock is known and after an unanswered call:
         the lease of an unreachable worker has to expire before its tasks may start
-        elsewhere.
+        elsewhere. It is also ``None`` while the worker may start a freed run, whose
+        task may be in progress elsewhere: a start that comes late is refused only
+        once the worker's lease has expired.
         """
-        if self.clock is None or self.last_hold_failed:
+        if not self._may_extend_lease():
             return None
         worker_time, read_at = self.clock
         return worker_time + (boot_time() - read_at) + self.lease
 
+    def _may_extend_lease(self):
+        is_reachable = self.clock is not None and not self.last_hold_failed
+        return is_reachable and self.unanswered_starts <= self.runs.keys()
+
     def _extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
-        if self.clock is not None and not self.last_hold_failed:
+        if self._may_extend_lease():
             end = (
                 boot_time() + self.lease * (1 + CLOCK_DRIFT_SHARE) + LEASE_SLACK_SECONDS
             )
@@ -262,6 +271,8 @@
         self.stops = {key: at for key, at in self.stops.items() if key in known}
         new_ends = [end for end in report.ends if end.number > self.acknowledged]
         ended = {(end.task, end.run) for end in new_ends}
+        for key in ended:
+            self._record_no_later_start(*key)
         self.ends.update((end.number, end) for end in new_ends)
         for key, counted_from in list(self.runs.items()):
             is_counted = counted_from is not None and counted_from < sent_at
@@ -271,6 +282,12 @@
         if new_ends or self.lost_runs or not had_answered:
             self.notify()
 
+    def _record_no_later_start(self, task, run):
+        """Record that the worker will not start ``run`` of a task or an earlier one."""
+        self.unanswered_starts = {
+            key for key in self.unanswered_starts if key[0] != task or key[1] > run
+        }
+
     def _update_progress(self):
         """Update each run's progress, and since when it works without a break."""
         since, now = self.working_since, boot_time()
@@ -319,7 +336,7 @@
                 case StartOrder():
                     await self._start(client, order)
                 case StopOrder():
-                    await self._call_until_answered(client.stop, order.task, order.run)
+                    await self._stop(client, order.task, order.run)
                 case PaceOrder():
                     await self._pace(client, order)
 
@@ -339,6 +356,15 @@
                 return error
         return None
 
+    async def _stop(self, client, task, run):
+        """Stop a run; afterwards the worker certainly never starts it."""
+        while not (self.has_ended or self.is_fenced):
+            refusal = await self._call_until_answered(client.stop, task, run)
+            if refusal is None or refusal.reason is not Refusal.UNHEALTHY:
+                self._record_no_later_start(task, run)
+                return
+            await anyio.sleep(RETRY_DELAY_SECONDS)
+
     async def _pace(self, client, order):
         """Send a pace order once, without a retry."""
         try:
@@ -359,10 +385,13 @@
             if end is None:
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
+            self.unanswered_starts.add(key)
             try:
                 await client.start(order, end)
-                self._count_as_started(key)
-                return
+                if key in self.runs or key not in self.unanswered_starts:
+                    self._record_started(key)
+                    return
+                may_have_started = True
             except WorkerNoResponseError as error:
                 may_have_started = may_have_started or error.sent
                 await anyio.sleep(RETRY_DELAY_SECONDS)
@@ -372,18 +401,19 @@
                 refusal = error.reason
                 if refusal is Refusal.OLD_RUN and may_have_started:
                     # An earlier attempt started it and it ended: a report states how.
-                    self._count_as_started(key)
+                    self._record_started(key)
                     return
                 if refusal is not Refusal.LEASE_OVER:
                     break
                 await anyio.sleep(RETRY_DELAY_SECONDS)
         await self._settle_refused_start(client, order, refusal, may_have_started)
 
-    def _count_as_started(self, key):
+    def _record_started(self, key):
         """Let the reports show from now on whether a run is lost.
 
         Its end may already be recorded, if a report came before the answer.
         """
+        self.unanswered_starts.discard(key)
         if key in self.runs:
             self.runs[key] = boot_time()
 
@@ -396,10 +426,12 @@
             self.no_starts_until = boot_time() + UNHEALTHY_BACKOFF_SECONDS
         if may_have_started:
             # From now on the reports show whether the run had started after all.
-            await self._call_until_answered(client.stop, order.task, order.run)
-            self._count_as_started(key)
-        elif key in self.runs and not (self.has_ended or self.is_fenced):
-            self.not_started.append((key, refusal))
+            await self._stop(client, order.task, order.run)
+            self._record_started(key)
+        else:
+            self.unanswered_starts.discard(key)
+            if key in self.runs and not (self.has_ended or self.is_fenced):
+                self.not_started.append((key, refusal))
         self.notify()
 
     def drop_run(self, key):
