--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -384,6 +384,13 @@
         except WorkerEndedError as error:
             self._mark_ended(str(error))
 
+    async def _send_start(self, client, order, lease_end, is_repeat):
+        """Send a start once; until it is answered, the run may start at any time."""
+        if is_repeat:
+            self.count_repeat(order)
+        self.unanswered_starts.add((order.task, order.run))
+        await client.start(order, lease_end)
+
     async def _start(self, client, order):
         """Start a run; afterwards the worker has it or certainly never will."""
         key, may_have_started, refusal = (order.task, order.run), False, None
@@ -395,11 +402,8 @@
             if end is None:
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
-            if may_have_started:
-                self.count_repeat(order)
-            self.unanswered_starts.add(key)
             try:
-                await client.start(order, end)
+                await self._send_start(client, order, end, may_have_started)
                 if key in self.runs or key not in self.unanswered_starts:
                     self._record_started(key)
                     return
