Wait longer for the answers to orders while they are late, and repeat them less

Cause: an order had 0.35 s, connecting included, and was repeated 0.15 s later on a new connection, with the whole specification of its job.

Evidence: over real connections with answers 0.8 s late a start was repeated for a whole lease without being answered (seen failing with "None matches Is(None)"), and a start whose run the worker listed was sent again (seen failing with two starts for one).

Now the timeout of a connection's orders doubles with each that is unanswered, up to a third of a lease, and follows the time of the answers; the delay before a repeat doubles up to 0.6 s. A start whose run a report lists isn't sent again, and one whose end is reported isn't stopped.

--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -8,10 +8,12 @@
 import msgspec
 import structlog
 
+from azurelanding.answer_timeout import AnswerTimeout
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.jobs import RunEnd, TaskId
 from azurelanding.tasks import Resources
+from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
     ListedEnd,
     ListedRun,
@@ -28,10 +30,10 @@
 MILLICORES_PER_CORE = 1000
 BYTES_PER_MEGABYTE = 1 << 20
 ORDER_TIMEOUT_SECONDS = 0.35
-"""Timeout of an order; some fifty times the usual response time. Repeating an
+"""Shortest timeout of an order; some fifty times the usual response time. Repeating an
 order does no harm."""
-HOLD_CALLS_PER_LEASE = 3
-"""Number of unanswered ``hold`` calls within a lease, which gives their timeout."""
+CALLS_PER_LEASE = 3
+"""Number of unanswered calls within a lease, which gives their longest timeout."""
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD_RUN,
@@ -117,14 +119,15 @@
     answer, ``WorkerEndedError`` when another incarnation answers and
     ``WorkerRefusedError`` when the worker refuses.
 
-    ``hold_timeout`` is the timeout of a ``hold`` call after its wait, in seconds.
+    ``longest_timeout`` in seconds is that of ``hold`` calls, in addition to their wait.
+    Those of orders are shorter and grow towards it while answers are late.
     """
 
-    def __init__(self, worker, epoch, connection, hold_timeout):
+    def __init__(self, worker, epoch, connection, longest_timeout):
         self.worker = worker
         self.epoch = epoch
         self.connection = connection
-        self.hold_timeout = hold_timeout
+        self.order_timeout = AnswerTimeout(ORDER_TIMEOUT_SECONDS, longest_timeout)
 
     @classmethod
     def from_config(cls, worker, epoch, lease):
@@ -133,9 +136,9 @@
         ``lease`` in seconds is that of what runs on the worker.
         """
         connection = HttpClient(worker.address, ORDER_TIMEOUT_SECONDS)
-        return cls(worker, epoch, connection, lease / HOLD_CALLS_PER_LEASE)
+        return cls(worker, epoch, connection, lease / CALLS_PER_LEASE)
 
-    async def _call(self, name, values, timeout=None):
+    async def _call(self, name, values, timeout):
         headers = (
             ("Content-Type", "application/json"),
             ("X-Expected-Instance", self.worker.id),
@@ -166,6 +169,20 @@
         message = f"{name} refused with {status}: {content[:200]!r}"
         return WorkerRefusedError(message, reason)
 
+    async def _order(self, name, values):
+        """Make a call that the worker answers at once, and adapt the timeout to it."""
+        timeout, sent_at = self.order_timeout.seconds, boot_time()
+        try:
+            await self._call(name, values, timeout)
+        except WorkerNoResponseError as error:
+            if error.sent:
+                self.order_timeout.record_no_answer(timeout)
+            raise
+        except WorkerRefusedError:
+            self.order_timeout.record_answer(boot_time() - sent_at)
+            raise
+        self.order_timeout.record_answer(boot_time() - sent_at)
+
     async def hold(self, last_seen, lease_end=None, wait=0.0):
         """Extend the lease to ``lease_end`` and return the ``WorkerReport``.
 
@@ -176,7 +193,7 @@
         values = {"lastSeen": last_seen, "waitMs": int(wait * MS_PER_SECOND)}
         if lease_end is not None:
             values["deadlineMs"] = int(lease_end * MS_PER_SECOND)
-        content = await self._call("hold", values, self.hold_timeout + wait)
+        content = await self._call("hold", values, self.order_timeout.longest + wait)
         try:
             return decode_report(content)
         except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
@@ -196,16 +213,16 @@
             values["checkpoint"] = order.checkpoint
         if order.ticket:
             values["ticket"] = order.ticket
-        await self._call("run-start", values)
+        await self._order("run-start", values)
 
     async def stop(self, task, run):
         """Order the worker to stop a run, or never to start it."""
-        await self._call("run-stop", {"task": str(task), "run": run})
+        await self._order("run-stop", {"task": str(task), "run": run})
 
     async def pace(self, task, run, share):
         """Throttle a run to ``share`` of its full pace, between 0 and 1."""
         percent = round(share * 100)
-        await self._call("pace", {"task": str(task), "run": run, "percent": percent})
+        await self._order("pace", {"task": str(task), "run": run, "percent": percent})
 
     async def close(self):
         """Close the connection; may be called twice."""
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -6,21 +6,34 @@
 
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
 from azurelanding.http_server import HttpServer, read_body, send_reply
+from azurelanding.jobs import TaskId
 from azurelanding.platform.workers import WorkerClient
 from azurelanding.tasks import Resources
 from azurelanding.utils import boot_time
+from azurelanding.worker_calls import StartOrder
 from azurelanding.worker_link import WorkerLink
 
 LEASE_SECONDS = 6.0
 LATENCY_SECONDS = 0.8
+TASK = TaskId("0" * 16, 0, 0, 0)
+KEY = (TASK, 1)
 
 
-async def answer_late(_scope, receive, send):
-    """Answer ``hold`` after its wait and the latency of a full link."""
-    values = msgspec.json.decode(await read_body(receive, 1 << 20))
-    await anyio.sleep(values["waitMs"] / 1000 + LATENCY_SECONDS)
-    answer = {"clockMs": int(boot_time() * 1000), "born": 1}
-    await send_reply(send, 200, (), msgspec.json.encode(answer))
+class SlowWorker:
+    """Answers calls after the latency of a full link, ``hold`` also after its wait.
+
+    ``calls`` are the paths of the calls, in order.
+    """
+
+    def __init__(self):
+        self.calls = []
+
+    async def app(self, scope, receive, send):
+        self.calls.append(scope["path"])
+        values = msgspec.json.decode(await read_body(receive, 1 << 20))
+        await anyio.sleep(values.get("waitMs", 0) / 1000 + LATENCY_SECONDS)
+        answer = {"clockMs": int(boot_time() * 1000), "born": 1}
+        await send_reply(send, 200, (), msgspec.json.encode(answer))
 
 
 def make_entry(address):
@@ -41,9 +54,13 @@
 class SlowAnswersTest(testtools.TestCase):
     """A worker that is up, behind a link on which every answer is late."""
 
-    async def follow_for(self, seconds):
-        """Return the link after it was followed for some time."""
-        server = HttpServer.from_config("127.0.0.1:0", answer_late)
+    def setUp(self):
+        super().setUp()
+        self.worker = SlowWorker()
+
+    async def run_link(self, scenario):
+        """Run ``scenario(link, task_group)`` on a link to the worker; return it."""
+        server = HttpServer.from_config("127.0.0.1:0", self.worker.app)
         link = WorkerLink(
             make_entry(server.address),
             lambda entry: WorkerClient.from_config(entry, 1, LEASE_SECONDS),
@@ -53,14 +70,30 @@
         )
         async with anyio.create_task_group() as task_group:
             server.start(task_group)
-            for follow in link.followers():
-                task_group.start_soon(follow)
-            await anyio.sleep(seconds)
+            await scenario(link, task_group)
             task_group.cancel_scope.cancel()
         await link.close()
         return link
 
     def test_late_answers_are_read_and_the_lease_is_extended(self):
-        link = anyio.run(self.follow_for, LEASE_SECONDS)
+        async def follow(link, task_group):
+            for follow in link.followers():
+                task_group.start_soon(follow)
+            await anyio.sleep(LEASE_SECONDS)
+
+        link = anyio.run(self.run_link, follow)
         self.assertGreaterEqual(link.report_count, 2)
         self.assertGreater(link.leased_until, boot_time() + LEASE_SECONDS / 2)
+
+    def test_start_is_repeated_less_and_less_often_until_its_late_answer(self):
+        async def start(link, task_group):
+            link.clock = (boot_time(), boot_time())
+            link.enqueue(StartOrder(TASK, 1, "spec"))
+            task_group.start_soon(link.send_orders, link.order_clients[0])
+            with anyio.move_on_after(LEASE_SECONDS):
+                while link.runs[KEY] is None:  # noqa: ASYNC110
+                    await anyio.sleep(0.02)
+
+        link = anyio.run(self.run_link, start)
+        self.assertIsNotNone(link.runs[KEY])
+        self.assertLessEqual(len(self.worker.calls), 3)
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -60,7 +60,9 @@
 class StartTest(testtools.TestCase):
     """One start order, from its first call to its outcome."""
 
-    def start(self, client, is_startable=True, is_dropped_in_flight=False):
+    def start(
+        self, client, is_startable=True, is_dropped_in_flight=False, is_listed=False
+    ):
         """Return the link after a start order sent over ``client``."""
 
         async def main():
@@ -76,6 +78,9 @@
             link.enqueue(order)
             if is_dropped_in_flight:
                 client.during_start = lambda: link.drop_run(KEY)
+            if is_listed:
+                run = ListedRun(*KEY, "", 0.0, 0.0)
+                client.during_start = lambda: link.listed_runs.update({KEY: run})
             with anyio.fail_after(5):
                 await link._start(client, order)
             return link
@@ -114,6 +119,13 @@
         self.assertEqual([], client.calls)
         self.assertEqual([(KEY, None)], link.not_started)
 
+    def test_start_of_a_listed_run_is_not_repeated(self):
+        client = ScriptedClient(unanswered())
+        link = self.start(client, is_listed=True)
+        self.assertEqual(["start"], client.calls)
+        self.assertIsNotNone(link.runs[KEY])
+        self.assertIsNotNone(link.lease_end())
+
     def test_refusal_as_fenced_marks_the_link_fenced(self):
         link = self.start(ScriptedClient(refused(Refusal.FENCED)))
         self.assertTrue(link.is_fenced)
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -41,7 +41,9 @@
 ORDER_CONNECTION_COUNT = 2
 """Connections for orders; an unanswered order on one does not delay the others."""
 RETRY_DELAY_SECONDS = 0.15
-"""Delay before an unanswered call is repeated."""
+"""Delay before an unanswered call is repeated; it doubles for an order."""
+LONGEST_RETRY_DELAY_SECONDS = 0.6
+"""Longest delay before an unanswered order is repeated."""
 CLOCK_DRIFT_SHARE = 0.02
 """How much slower a worker's clock may run than the daemon's, as a share."""
 LEASE_SLACK_SECONDS = 0.3
@@ -52,6 +54,17 @@
 """How long a worker gets no starts after it refused one as unhealthy."""
 
 
+def retry_delays():
+    """Yield the delays before an unanswered order is repeated, in seconds.
+
+    They grow, because orders that are repeated add to the load of a full link.
+    """
+    delay = RETRY_DELAY_SECONDS
+    while True:
+        yield delay
+        delay = min(LONGEST_RETRY_DELAY_SECONDS, 2.0 * delay)
+
+
 class WorkerLink:
     """One worker's state as a pool's controller knows it, and the tasks that call it.
 
@@ -342,12 +355,13 @@
 
     async def _call_until_answered(self, call, *arguments):
         """Repeat a call until it is answered; return the refusal, or ``None``."""
+        delays = retry_delays()
         while not (self.has_ended or self.is_fenced):
             try:
                 await call(*arguments)
                 return None
             except WorkerNoResponseError:
-                await anyio.sleep(RETRY_DELAY_SECONDS)
+                await anyio.sleep(next(delays))
             except WorkerEndedError as error:
                 self._mark_ended(str(error))
             except WorkerRefusedError as error:
@@ -377,9 +391,12 @@
     async def _start(self, client, order):
         """Start a run; afterwards the worker has it or certainly never will."""
         key, may_have_started, refusal = (order.task, order.run), False, None
-        while key in self.runs and not (self.has_ended or self.is_fenced):
-            if not self.is_startable(order.task):
-                break
+        delays = retry_delays()
+        while self._is_wanted(order):
+            if key in self.listed_runs:
+                # Its answer was lost or is still under way.
+                self._record_started(key)
+                return
             self._extend_leased_until()
             end = self.lease_end()
             if end is None:
@@ -394,7 +411,7 @@
                 may_have_started = True
             except WorkerNoResponseError as error:
                 may_have_started = may_have_started or error.sent
-                await anyio.sleep(RETRY_DELAY_SECONDS)
+                await anyio.sleep(next(delays))
             except WorkerEndedError as error:
                 self._mark_ended(str(error))
             except WorkerRefusedError as error:
@@ -408,6 +425,12 @@
                 await anyio.sleep(RETRY_DELAY_SECONDS)
         await self._settle_refused_start(client, order, refusal, may_have_started)
 
+    def _is_wanted(self, order):
+        """Return whether a start is still to be carried out."""
+        is_over = self.has_ended or self.is_fenced
+        is_expected = (order.task, order.run) in self.runs
+        return is_expected and not is_over and self.is_startable(order.task)
+
     def _record_started(self, key):
         """Let the reports show from now on whether a run is lost.
 
@@ -425,8 +448,9 @@
         if refusal is Refusal.UNHEALTHY:
             self.no_starts_until = boot_time() + UNHEALTHY_BACKOFF_SECONDS
         if may_have_started:
+            if key in self.unanswered_starts:
+                await self._stop(client, order.task, order.run)
             # From now on the reports show whether the run had started after all.
-            await self._stop(client, order.task, order.run)
             self._record_started(key)
         else:
             self.unanswered_starts.discard(key)
