Acknowledge ends to the incarnation that reported them

What callers could see: a task that runs twice.

Cause: a decision stores the ends that were read and acknowledges them afterwards, by number. The append waits as long as the store is down. A worker that starts again under its id meanwhile numbers its ends anew, and the old number then acknowledged its first ends unread: they were ignored in each report, the worker forgot them at the next `hold`, and their runs were freed as `not listed by its worker`.

Evidence: the test applies a report of a later incarnation between the two steps. It was seen failing on the code before, called without `born`, with "0 != 57".

An acknowledgement now names the incarnation that it is for, and does nothing for another. The link has already reset its counts for that one.

--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -174,8 +174,8 @@
         if records and not await self._store(records):
             return
         self._log_ended(draft)
-        for link, number in ends_read:
-            link.acknowledge(number)
+        for link, number, born in ends_read:
+            link.acknowledge(number, born)
         for worker_id, order in starts:
             self.links[worker_id].enqueue(order)
         self.stops.stop_unwanted()
@@ -223,7 +223,8 @@
     def _record_ends(self, draft):
         """Record the ends that workers report.
 
-        Returns pairs of a link and the highest end number read from it.
+        Returns for each link with ends the link, the highest number read from it and
+        ``born`` of the incarnation that reported them.
         """
         ends_read = []
         for link in self.links.values():
@@ -235,7 +236,7 @@
                 link.drop_run((end.task, end.run))
                 self._log_end(link, end, was_active)
             if link.ends:
-                ends_read.append((link, max(link.ends)))
+                ends_read.append((link, max(link.ends), link.born))
         return ends_read
 
     def _log_end(self, link, end, was_active):
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -198,6 +198,36 @@
         self.assertIsNotNone(link.lease_end())
 
 
+class RestartedWorkerTest(testtools.TestCase):
+    """A worker that starts again under its id and numbers its ends anew."""
+
+    def setUp(self):
+        super().setUp()
+        self.link = WorkerLink(
+            WorkerModel("w", "cuts").entry(),
+            lambda entry: None,
+            6.0,
+            lambda: None,
+            lambda task: True,
+        )
+
+    def report(self, clock, born, *numbers):
+        """Apply a report with ends of the task under the given numbers."""
+        ends = tuple(ListedEnd(n, TASK, n, RunEnd.DONE, "") for n in numbers)
+        self.link._apply_report(WorkerReport(clock, born, (), ends), boot_time())
+
+    def test_ends_recorded_after_a_restart_acknowledge_none_of_the_later_ones(self):
+        # The end of a run was dropped unread, so that its task ran twice.
+        self.report(50.0, 1, 56, 57)
+        self.report(1.0, 2)
+        self.link.acknowledge(57, 1)
+        self.assertEqual(0, self.link.acknowledged)
+        self.report(2.0, 2, 1)
+        self.assertEqual({1}, self.link.ends.keys())
+        self.link.acknowledge(1, 2)
+        self.assertEqual({}, self.link.ends)
+
+
 class HoldClient:
     """Answers ``hold`` with the given reports in turn, the first of them after a delay.
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -313,8 +313,14 @@
             if run.work_share >= 1.0
         }
 
-    def acknowledge(self, number):
-        """Let the worker drop the ends up to ``number``, which are recorded."""
+    def acknowledge(self, number, born):
+        """Let the worker drop the ends up to ``number``, which are recorded.
+
+        ``born`` is that of the incarnation that reported them: the numbers of a later
+        one, which may have begun meanwhile, start anew.
+        """
+        if born != self.born:
+            return
         self.acknowledged = max(self.acknowledged, number)
         self.ends = {n: end for n, end in self.ends.items() if n > self.acknowledged}
         self.ends_recorded.notify()
