Measure the calls to workers, waiting orders and the event loop

Now served as metrics: the wait of orders, the time of answered calls by name, calls without an answer by name and kind, connections opened, bytes of starts, orders waiting by pool, and how late the event loop wakes.

New lines: `start sent late`, `orders wait for workers`, `event loop late` and `worker answers again`, each bounded in number. `worker does not answer` says whether the worker is known to be leaving, and `run freed` how old the last report was and whether the start had been answered.

WorkerLink gets the LinkWatch of its pool; its queue is an OrderQueue, which keeps the time of each order.

--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -17,19 +17,26 @@
         super().__init__(message)
         self.sent = sent
 
+    @property
+    def timed_out(self):
+        """Return whether the time for the request ran out."""
+        return isinstance(self.__cause__, (TimeoutError, httpcore.TimeoutException))
+
 
 class HttpClient:
     """A connection to one peer, opened on demand, for one request at a time.
 
     ``timeout`` limits each complete exchange, in seconds. The connection is closed
     after a failure, so that a late answer can't be taken for that of a later request.
+    ``on_open()`` is called for each connection that is opened.
     """
 
-    def __init__(self, address, timeout):
+    def __init__(self, address, timeout, on_open=None):
         host, port = split_address(address)
         self.origin = httpcore.Origin(b"http", host.encode(), port)
         self.address = address
         self.timeout = timeout
+        self.on_open = on_open
         self.lock = anyio.Lock()
         self.connection = None
 
@@ -45,6 +52,8 @@
         await self._drop_if_closed()
         if self.connection is None:
             self.connection = httpcore.AsyncHTTPConnection(self.origin)
+            if self.on_open is not None:
+                self.on_open()
         url = httpcore.URL(
             scheme=b"http",
             host=self.origin.host,
--- /dev/null
+++ b/azurelanding/link_watch.py
@@ -0,0 +1,126 @@
+"""Watch the links of one pool: measure their calls, log while orders wait too long."""
+
+import contextlib
+
+import attrs
+import structlog
+
+from azurelanding.start_budget import order_bytes
+from azurelanding.utils import boot_time
+from azurelanding.worker_calls import WorkerNoResponseError
+
+logger = structlog.get_logger()
+
+TROUBLE_WAIT_SECONDS = 1.0
+"""Wait of an order from which a line tells that it is late."""
+TROUBLE_INTERVAL_SECONDS = 5.0
+"""Shortest time between two lines on a pool in trouble."""
+
+
+@attrs.define
+class CallTally:
+    """What the calls of a pool's links met since the ``boot_time`` ``since``.
+
+    ``start_bytes`` is about what start orders took on the link, repeats included.
+    ``slowest_start`` and ``slowest_hold`` are the seconds of the slowest answered call.
+    """
+
+    timeouts: int = 0
+    ended_connections: int = 0
+    start_bytes: int = 0
+    slowest_start: float = 0.0
+    slowest_hold: float = 0.0
+    since: float = attrs.field(factory=boot_time)
+
+
+class LinkWatch:
+    """Measures the calls to the workers of one pool.
+
+    >>> watch = LinkWatch("cuts", ServedMetrics())
+    >>> with watch.call("hold", wait=1.0):
+    ...     report = await client.hold(0, None, 1.0)
+    """
+
+    def __init__(self, pool, metrics):
+        self.pool = pool
+        self.metrics = metrics
+        self.tally = CallTally()
+        self.logged_at = float("-inf")
+
+    @contextlib.contextmanager
+    def call(self, name, wait=0.0):
+        """Measure one call, without the ``wait`` that it asked the worker for.
+
+        An answer before the end of that wait counts as immediate.
+        """
+        called_at = boot_time()
+        try:
+            yield
+        except WorkerNoResponseError as error:
+            self._count_unanswered(name, error)
+            raise
+        seconds = max(0.0, boot_time() - called_at - wait)
+        self.metrics.observe(f"{name}_call_seconds", seconds)
+        if name == "start":
+            self.tally.slowest_start = max(self.tally.slowest_start, seconds)
+        elif name == "hold":
+            self.tally.slowest_hold = max(self.tally.slowest_hold, seconds)
+
+    def _count_unanswered(self, name, error):
+        if error.timed_out:
+            self.tally.timeouts += 1
+        else:
+            self.tally.ended_connections += 1
+        kind = "timeout" if error.timed_out else "ended"
+        self.metrics.count(f"calls_unanswered_{name}_{kind}")
+
+    def observe_order_wait(self, seconds):
+        """Record how long an order waited in the queue of its worker."""
+        self.metrics.observe("order_wait_seconds", seconds)
+
+    def count_start_bytes(self, order):
+        """Count about how many bytes a start order takes on the link."""
+        self.metrics.count("start_bytes", order_bytes(order))
+        self.tally.start_bytes += order_bytes(order)
+
+    def count_connection(self):
+        """Count a connection that was opened to a worker."""
+        self.metrics.count("worker_connections_opened")
+
+    def check(self, links, loop_late, now):
+        """Set the gauge of waiting orders; log if one has waited for too long.
+
+        ``loop_late`` is the latest recent wake-up of the event loop, in seconds. The
+        lines have at least ``TROUBLE_INTERVAL_SECONDS`` between them.
+        """
+        waiting = sum(len(link.orders) for link in links)
+        self.metrics.gauge(f"orders_waiting_{self.pool}", waiting)
+        oldest = max((link.orders.oldest_wait(now) for link in links), default=0.0)
+        is_over = now >= self.tally.since + TROUBLE_INTERVAL_SECONDS
+        may_log = now >= self.logged_at + TROUBLE_INTERVAL_SECONDS
+        is_logged = oldest > TROUBLE_WAIT_SECONDS and may_log
+        if not (is_logged or is_over):
+            return
+        tally, self.tally = self.tally, CallTally(since=now)
+        if not is_logged:
+            return
+        self.logged_at = now
+        logger.warning(
+            "orders wait for workers",
+            pool=self.pool,
+            waiting=waiting,
+            oldest=round(oldest, 3),
+            links=len(links),
+            silent=sum(link.last_hold_failed for link in links),
+            timeouts=tally.timeouts,
+            ended_connections=tally.ended_connections,
+            start_bytes=tally.start_bytes,
+            slowest_start=round(tally.slowest_start, 3),
+            slowest_hold=round(tally.slowest_hold, 3),
+            counted_for=round(now - tally.since, 1),
+            loop_late=round(loop_late, 3),
+        )
+
+    def close(self):
+        """Set the gauge to 0, as the pool is no longer controlled here."""
+        self.metrics.gauge(f"orders_waiting_{self.pool}", 0)
--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -127,12 +127,13 @@
         self.hold_timeout = hold_timeout
 
     @classmethod
-    def from_config(cls, worker, epoch, lease):
+    def from_config(cls, worker, epoch, lease, on_open):
         """Return a client for a ``WorkerEntry`` that sends ``epoch`` with each call.
 
-        ``lease`` in seconds is that of what runs on the worker.
+        ``lease`` in seconds is that of what runs on the worker. ``on_open()`` is called
+        for each connection that the client opens.
         """
-        connection = HttpClient(worker.address, ORDER_TIMEOUT_SECONDS)
+        connection = HttpClient(worker.address, ORDER_TIMEOUT_SECONDS, on_open)
         return cls(worker, epoch, connection, lease / HOLD_CALLS_PER_LEASE)
 
     async def _call(self, name, values, timeout=None):
@@ -146,7 +147,9 @@
                 "POST", f"/v1/{name}", body, headers, timeout
             )
         except HttpClientError as error:
-            raise WorkerNoResponseError(f"{name}: {error}", error.sent) from error
+            raise WorkerNoResponseError(
+                f"{name}: {error}", error.sent, error.timed_out
+            ) from error
         if status == http.HTTPStatus.OK:
             return content
         if status == http.HTTPStatus.MISDIRECTED_REQUEST:
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -25,6 +25,7 @@
 from azurelanding.worker_calls import Refusal, StartOrder
 from azurelanding.worker_capacity import free_capacity_by_worker
 from azurelanding.worker_health import WorkerFailureTracker
+from azurelanding.worker_link import round_seconds
 
 logger = structlog.get_logger()
 
@@ -103,6 +104,7 @@
             task_group.start_soon(self.appender.run)
             task_group.start_soon(self._follow_stream)
             task_group.start_soon(self.permits.run)
+            task_group.start_soon(self.pool_links.run_watch)
             try:
                 await self._decide_until_lost(task_group)
             finally:
@@ -299,11 +301,16 @@
 
     def _free(self, draft, link, task, run, reason):
         job_ends.record_lost_run(draft, task, run)
+        fields = {
+            "reason": reason,
+            "report_age": round_seconds(link.report_age(boot_time())),
+            "start_answered": link.runs.get((task, run)) is not None,
+        }
         link.drop_run((task, run))
         if not link.has_ended:
             # An unanswered start may still be carried out.
             link.stop_before_others(task, run)
-        log_run("run freed", link.entry.id, task, run, reason=reason)
+        log_run("run freed", link.entry.id, task, run, **fields)
 
     def _record_refusal(self, draft, link, task, run, refusal):
         now = boot_time()
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -2,10 +2,15 @@
 
 import anyio
 
+from azurelanding.fleet_workers import WorkerPhase
+from azurelanding.link_watch import LinkWatch
+from azurelanding.utils import boot_time
 from azurelanding.worker_link import WorkerLink
 
 CLOSE_SECONDS = 1.0
 """Timeout for closing a worker's connections."""
+WATCH_INTERVAL_SECONDS = 1.0
+"""Interval between two checks for orders that wait too long."""
 
 
 class PoolLinks:
@@ -24,6 +29,7 @@
         self.daemon = daemon
         self.wake = wake
         self.count_repeat = count_repeat
+        self.watch = LinkWatch(pool, daemon.metrics)
         self.links = {}
         self.scopes = {}
         self.registered = {}
@@ -55,14 +61,15 @@
                 self._drop(worker_id)
 
     def _add(self, entry, task_group):
-        lease = self.daemon.site.timing.longest_lease
         link = WorkerLink(
             entry,
-            lambda worker: self.daemon.make_worker_client(worker, self.epoch, lease),
-            lease,
+            self._make_client,
+            self.daemon.site.timing.longest_lease,
             self.wake,
             self._is_startable,
             self.count_repeat,
+            self._is_leaving,
+            self.watch,
         )
         for key in self.ledger.placed.get(entry.id, ()):
             link.adopt_run(key)
@@ -70,11 +77,38 @@
         self.links[entry.id], self.scopes[entry.id] = link, scope
         task_group.start_soon(self._serve, link, scope)
 
+    def _make_client(self, worker):
+        return self.daemon.make_worker_client(
+            worker,
+            self.epoch,
+            self.daemon.site.timing.longest_lease,
+            self.watch.count_connection,
+        )
+
+    def _is_leaving(self, worker_id):
+        """Return whether a worker has ended or will soon, as far as is known here."""
+        entry = self.registered.get(worker_id)
+        return (
+            entry is None
+            or entry.phase is WorkerPhase.DRAINING
+            or worker_id in self.daemon.cordoned()
+        )
+
     def _is_startable(self, task_id):
         """Return whether the job of a placed task is still active."""
         state = self.ledger.active.get(task_id.job)
         return state is not None and not state.is_over
 
+    async def run_watch(self):
+        """Watch for orders that wait too long, until cancelled."""
+        try:
+            while True:
+                await anyio.sleep(WATCH_INTERVAL_SECONDS)
+                loop_late = self.daemon.loop_watch.worst()
+                self.watch.check(self.links.values(), loop_late, boot_time())
+        finally:
+            self.watch.close()
+
     async def _serve(self, link, scope):
         with scope:
             async with anyio.create_task_group() as task_group:
--- a/azurelanding/served_metrics.py
+++ b/azurelanding/served_metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-LATENCY_BUCKETS_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+LATENCY_BUCKETS_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
 """Upper bounds in seconds: from the time of one append to a very late task start."""
 METRIC_PREFIX = "azurelanding_"
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -9,6 +9,7 @@
 from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_workers import WorkerRegistry
 from azurelanding.job_service import JobService
+from azurelanding.loop_watch import LoopWatch
 from azurelanding.membership import (
     GroupMember,
     member_name,
@@ -48,12 +49,12 @@
 class ServiceClients:
     """Factories for the service clients of the daemon, and codecs for stored records.
 
-    ``make_store()``, ``make_worker_client(entry, epoch, lease)``,
+    ``make_store()``, ``make_worker_client(entry, epoch, lease, on_open)``,
     ``make_hosts(holder)`` and ``make_advice()`` return clients; the last two are
     ``None`` if the site has no such service. ``decode_operator(record)`` and
     ``decode_worker(record)`` decode records of ``operator_topic`` and
-    ``workers_topic``. ``encode_wave(number, is_complete)``
-    returns the record that reports a wave to the operator in ``status_topic``.
+    ``workers_topic``. ``encode_wave(number, is_complete)`` returns the record that
+    reports a wave to the operator in ``status_topic``.
     """
 
     make_store: object
@@ -78,6 +79,7 @@
         self.name = member_name(site.name, incarnation, rank)
         self.metrics = ServedMetrics()
         self.start_budget = StartBudget.from_config(site.link_rate, boot_time())
+        self.loop_watch = LoopWatch(self.metrics)
         self.registry = WorkerRegistry()
         self.operator = OperatorFold(service_clients.decode_operator)
         self.fleet = FleetFold()
@@ -297,6 +299,7 @@
             self.fleet_follower,
         ):
             task_group.start_soon(follower.run)
+        task_group.start_soon(self.loop_watch.run)
         task_group.start_soon(self.member.run)
         task_group.start_soon(self._follow_configuration)
         task_group.start_soon(self._follow_assignments)
--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -1,7 +1,7 @@
 """Stand in for a worker of the platform: runs under leases, with fencing.
 
-``WorkerModel`` simulates runs in real time. ``WorkerFleet.client(entry, epoch,
-lease)`` returns a substitute for the client in ``azurelanding.platform.workers``.
+``WorkerModel`` simulates runs in real time. ``WorkerFleet.client`` returns a substitute
+for the client in ``azurelanding.platform.workers``.
 """
 
 import anyio
@@ -167,8 +167,12 @@
         self.models[model.name] = model
         return model
 
-    def client(self, entry, epoch, _lease):
-        """Return a client of the worker with the id of ``entry``."""
+    def client(self, entry, epoch, _lease, on_open):
+        """Return a client of the worker with the id of ``entry``.
+
+        It opens one connection, of which ``on_open()`` is told.
+        """
+        on_open()
         return ModelWorkerClient(self, entry, epoch)
 
 
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -7,11 +7,14 @@
 from azurelanding.fleet_workers import HostEntry, HostPhase
 from azurelanding.host_calls import HostBusyError
 from azurelanding.jobs import Job, Step
+from azurelanding.link_watch import LinkWatch
+from azurelanding.served_metrics import ServedMetrics
 from azurelanding.site import Site, StoreSettings, Timing
 from azurelanding.site_daemon import ServiceClients, SiteDaemon
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.standins.platform_worker import WorkerFleet, WorkerModel
 from azurelanding.tasks import Resources
+from azurelanding.worker_link import WorkerLink
 
 LEASE_SECONDS = 1.0
 
@@ -26,6 +29,24 @@
     return Job(job_id, "q", pool, "spec", steps or (make_step(),), 1.0, **fields)
 
 
+def make_link(name="w", **fields):
+    """Return the link to a worker of the pool "cuts" that has not called it yet.
+
+    ``fields`` replace the arguments of ``WorkerLink``.
+    """
+    arguments = {
+        "entry": WorkerModel(name, "cuts").entry(),
+        "make_client": lambda entry: None,
+        "lease": 6.0,
+        "notify": lambda: None,
+        "is_startable": lambda task: True,
+        "count_repeat": lambda order: None,
+        "is_leaving": lambda worker_id: False,
+        "watch": LinkWatch("cuts", ServedMetrics()),
+    }
+    return WorkerLink(**{**arguments, **fields})
+
+
 def make_queue(pool="cuts", name="q"):
     """Return a queue of ``pool``."""
     return Queue(name, "host", f"/{name}/", pool, 3.0, max_attempts=2)
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -8,13 +8,11 @@
 from azurelanding.fleet_workers import HostEntry, HostPhase
 from azurelanding.jobs import JobState, TaskId, TaskState
 from azurelanding.ledger import JobSubmitted, Ledger, TaskChanged, record_key
-from azurelanding.standins.platform_worker import WorkerModel
 from azurelanding.tasks import Resources
-from azurelanding.tests.platform_world import make_job, make_step
+from azurelanding.tests.platform_world import make_job, make_link, make_step
 from azurelanding.tests.test_job_placement import make_capacity
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import ListedRun
-from azurelanding.worker_link import WorkerLink
 
 HOST_CAPACITY = Resources(8.0, 1 << 34, 0)
 
@@ -76,9 +74,7 @@
         self.assertEqual([0, 1], sorted(self.evacuate(["v", "v"], draining=["v"])))
 
     def test_run_is_steady_only_after_a_while_and_not_while_stopped(self):
-        link = WorkerLink(
-            WorkerModel("v", "cuts").entry(), lambda e: None, 6, None, None
-        )
+        link = make_link("v")
         key, now = (TaskId("a", 0, 0, 0), 1), boot_time()
         link.working_since, link.last_report_at = {key: now}, now + 1.0
         self.assertEqual(set(), evacuation.steady_runs([link], now + 0.5))
@@ -87,8 +83,7 @@
         self.assertEqual(set(), evacuation.steady_runs([link], now + 1.5))
 
     def test_run_on_a_worker_whose_report_is_overdue_is_not_steady(self):
-        entry = WorkerModel("v", "cuts").entry()
-        link = WorkerLink(entry, lambda e: None, 6, None, None)
+        link = make_link("v")
         key, now = (TaskId("a", 0, 0, 0), 1), boot_time()
         link.working_since, link.last_report_at = {key: now}, now
         self.assertEqual(set(), evacuation.steady_runs([link], now + 2.0))
@@ -233,9 +228,7 @@
         job = make_job(steps=steps)
         ledger = make_ledger(job, ["v"])
         serving, filling = TaskId(job.id, 0, 0, 0), TaskId(job.id, 0, 1, 0)
-        link = WorkerLink(
-            WorkerModel("v", "cuts").entry(), lambda e: None, 6, None, None
-        )
+        link = make_link("v")
         throttles = filler_throttle.FillerThrottles()
 
         def report(tail):
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -8,8 +8,8 @@
 from azurelanding.http_server import HttpServer, read_body, send_reply
 from azurelanding.platform.workers import WorkerClient
 from azurelanding.tasks import Resources
+from azurelanding.tests.platform_world import make_link
 from azurelanding.utils import boot_time
-from azurelanding.worker_link import WorkerLink
 
 LEASE_SECONDS = 6.0
 LATENCY_SECONDS = 0.8
@@ -44,12 +44,12 @@
     async def follow_for(self, seconds):
         """Return the link after it was followed for some time."""
         server = HttpServer.from_config("127.0.0.1:0", answer_late)
-        link = WorkerLink(
-            make_entry(server.address),
-            lambda entry: WorkerClient.from_config(entry, 1, LEASE_SECONDS),
-            LEASE_SECONDS,
-            lambda: None,
-            lambda task: True,
+        link = make_link(
+            entry=make_entry(server.address),
+            make_client=lambda entry: WorkerClient.from_config(
+                entry, 1, LEASE_SECONDS, lambda: None
+            ),
+            lease=LEASE_SECONDS,
         )
         async with anyio.create_task_group() as task_group:
             server.start(task_group)
--- a/azurelanding/tests/test_run_progress.py
+++ b/azurelanding/tests/test_run_progress.py
@@ -5,17 +5,14 @@
 from azurelanding import run_progress
 from azurelanding.jobs import TaskId
 from azurelanding.run_progress import RunProgress
-from azurelanding.standins.platform_worker import WorkerModel
-from azurelanding.tests.platform_world import make_job, make_step
+from azurelanding.tests.platform_world import make_job, make_link, make_step
 from azurelanding.tests.test_fleet_choices import make_ledger
 from azurelanding.utils import boot_time
-from azurelanding.worker_link import WorkerLink
 
 
-def make_link(name, progress):
+def make_reported_link(name, progress):
     """Return a link whose last report, received now, led to this progress by run."""
-    entry = WorkerModel(name, "cuts").entry()
-    link = WorkerLink(entry, lambda e: None, 6, None, None)
+    link = make_link(name)
     link.last_report_at, link.progress = boot_time(), progress
     link.runs = dict.fromkeys(progress, boot_time())
     return link
@@ -37,7 +34,7 @@
             advanced_at = now - (stalled[0] if stalled else 0.0)
             progress = RunProgress(now - seconds, advanced_at, 0.0, share)
             key = (TaskId(job.id, 0, 0, index), 1)
-            links.append(make_link("vw"[index], {key: progress}))
+            links.append(make_reported_link("vw"[index], {key: progress}))
         times = run_progress.fastest_step_times(links)
         return [
             (task.index, reason)
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -4,7 +4,7 @@
 import testtools
 
 from azurelanding.jobs import RunEnd, TaskId
-from azurelanding.standins.platform_worker import WorkerModel
+from azurelanding.tests.platform_world import make_link
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
     ListedEnd,
@@ -15,7 +15,6 @@
     WorkerRefusedError,
     WorkerReport,
 )
-from azurelanding.worker_link import WorkerLink
 
 TASK = TaskId("0" * 16, 0, 0, 0)
 KEY = (TASK, 1)
@@ -68,13 +67,10 @@
         """Return the link after a start order sent over ``client``."""
 
         async def main():
-            link = WorkerLink(
-                WorkerModel("w", "cuts").entry(),
-                lambda entry: client,
-                6.0,
-                lambda: None,
-                lambda task: is_startable,
-                self.repeats.append,
+            link = make_link(
+                make_client=lambda entry: client,
+                is_startable=lambda task: is_startable,
+                count_repeat=self.repeats.append,
             )
             link.clock = (1.0, boot_time())
             order = StartOrder(TASK, 1, "spec")
@@ -133,13 +129,7 @@
     """A start that may be carried out after its run was freed."""
 
     def make_link(self, client):
-        link = WorkerLink(
-            WorkerModel("w", "cuts").entry(),
-            lambda entry: client,
-            6.0,
-            lambda: None,
-            lambda task: True,
-        )
+        link = make_link(make_client=lambda entry: client)
         link.clock = (1.0, boot_time())
         link.last_report_at = boot_time()
         return link
@@ -227,13 +217,7 @@
         clients = iter((first, second, None, None))
 
         async def main():
-            link = WorkerLink(
-                WorkerModel("w", "cuts").entry(),
-                lambda entry: next(clients),
-                6.0,
-                lambda: None,
-                lambda task: True,
-            )
+            link = make_link(make_client=lambda entry: next(clients))
             with anyio.move_on_after(seconds):
                 async with anyio.create_task_group() as task_group:
                     for follow in link.followers():
--- a/azurelanding/worker_calls.py
+++ b/azurelanding/worker_calls.py
@@ -5,6 +5,7 @@
 import attrs
 
 from azurelanding.jobs import RunEnd, TaskId
+from azurelanding.utils import boot_time
 
 
 class Refusal(enum.Enum):
@@ -28,11 +29,14 @@
     """A call got no usable answer.
 
     If ``sent`` is true, the order may have been carried out or may still be later.
+    ``timed_out`` says whether the time ran out; otherwise the connection ended or the
+    answer could not be read.
     """
 
-    def __init__(self, message, sent):
+    def __init__(self, message, sent, timed_out=False):
         super().__init__(message)
         self.sent = sent
+        self.timed_out = timed_out
 
 
 class WorkerEndedError(WorkerError):
@@ -91,13 +95,14 @@
 
 @attrs.frozen
 class StartOrder:
-    """An order to start a run of a task."""
+    """An order to start a run of a task; ``placed_at`` is in ``boot_time``."""
 
     task: TaskId
     run: int
     spec: str
     checkpoint: str = ""
     ticket: str = ""
+    placed_at: float = attrs.field(factory=boot_time, eq=False)
 
 
 @attrs.frozen
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -8,12 +8,14 @@
 no longer start is stopped: the worker remembers the stop and refuses a late start.
 """
 
-import collections
+import contextlib
 
 import anyio
 import structlog
 
 from azurelanding.answer_timeout import AnswerTimeout
+from azurelanding.link_watch import TROUBLE_WAIT_SECONDS
+from azurelanding.order_queue import OrderQueue
 from azurelanding.run_progress import RunProgress
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import (
@@ -22,6 +24,7 @@
     StartOrder,
     StopOrder,
     WorkerEndedError,
+    WorkerError,
     WorkerNoResponseError,
     WorkerRefusedError,
 )
@@ -50,6 +53,13 @@
 """How long a superseded controller may still extend a worker's lease."""
 UNHEALTHY_BACKOFF_SECONDS = 1.0
 """How long a worker gets no starts after it refused one as unhealthy."""
+LATE_START_LOG_SECONDS = 1.0
+"""Shortest time between two lines on late starts of one worker."""
+
+
+def round_seconds(seconds):
+    """Return ``seconds`` rounded for a log line; ``None`` stays as it is."""
+    return None if seconds is None else round(seconds, 3)
 
 
 class WorkerLink:
@@ -78,11 +88,16 @@
       next report.
     - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
       flight on the first connection is overdue, ``None`` without such a call.
+    - ``unanswered_calls`` is the number of calls without an answer since the last one
+      with an answer, and ``silent_since`` the ``boot_time`` of the last report before
+      the worker stopped answering.
 
     ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
     ``notify`` is called when there are ends, losses or refusals to process,
-    ``is_startable(task_id)`` returns whether a placed task may still start, and
-    ``count_repeat(order)`` is called before an unanswered start is sent again.
+    ``is_startable(task_id)`` returns whether a placed task may still start,
+    ``count_repeat(order)`` is called before an unanswered start is sent again,
+    ``is_leaving(worker_id)`` returns whether a worker is known to be going away, and
+    ``watch`` is the ``LinkWatch`` of the pool.
     """
 
     def __init__(
@@ -92,7 +107,9 @@
         lease,
         notify,
         is_startable,
-        count_repeat=lambda order: None,
+        count_repeat,
+        is_leaving,
+        watch,
     ):
         self.entry = entry
         self.hold_client = make_client(entry)
@@ -102,6 +119,8 @@
         self.notify = notify
         self.is_startable = is_startable
         self.count_repeat = count_repeat
+        self.is_leaving = is_leaving
+        self.watch = watch
         self.runs = {}
         self.unanswered_starts = set()
         self.listed_runs = {}
@@ -113,7 +132,7 @@
         self.not_started = []
         self.lost_runs = []
         self.stops = {}
-        self.orders = collections.deque()
+        self.orders = OrderQueue(watch.observe_order_wait)
         self.order_added = Notifier()
         self.ends_recorded = Notifier()
         self.has_answered = False
@@ -124,6 +143,9 @@
         self.overdue_delay = AnswerTimeout(
             SHORTEST_OVERDUE_SECONDS, lease / OVERDUE_CALLS_PER_LEASE
         )
+        self.unanswered_calls = 0
+        self.silent_since = None
+        self.late_start_logged_at = None
         self.last_report_at = None
         self.clock = None
         longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
@@ -178,6 +200,24 @@
         """Return the functions that follow the worker, one for each connection."""
         return [self.follow, self.follow_while_overdue]
 
+    def report_age(self, now):
+        """Return the seconds since the last report at ``now``, or ``None``."""
+        return None if self.last_report_at is None else now - self.last_report_at
+
+    @contextlib.contextmanager
+    def _watched(self, name, wait=0.0):
+        """Measure a call and count the unanswered ones in a row."""
+        try:
+            with self.watch.call(name, wait):
+                yield
+        except WorkerNoResponseError:
+            self.unanswered_calls += 1
+            raise
+        except WorkerError:
+            self.unanswered_calls = 0
+            raise
+        self.unanswered_calls = 0
+
     async def follow(self):
         """Extend the lease and read the reports until the worker has ended."""
         while not (self.has_ended or self.is_fenced):
@@ -221,7 +261,8 @@
         self._extend_leased_until()
         sent_at = boot_time()
         try:
-            report = await client.hold(self.acknowledged, self.lease_end(), wait)
+            with self._watched("hold", wait):
+                report = await client.hold(self.acknowledged, self.lease_end(), wait)
         except WorkerNoResponseError as error:
             if self.last_report_at is None or self.last_report_at < sent_at:
                 self._record_no_response(str(error))
@@ -249,7 +290,16 @@
 
     def _record_no_response(self, reason):
         if not self.last_hold_failed:
-            logger.info("worker does not answer", worker=self.entry.id, reason=reason)
+            now = boot_time()
+            self.silent_since = self.last_report_at or now
+            logger.info(
+                "worker does not answer",
+                worker=self.entry.id,
+                reason=reason,
+                leaving=self.is_leaving(self.entry.id),
+                unanswered=self.unanswered_calls,
+                report_age=round_seconds(self.report_age(now)),
+            )
         self.last_hold_failed = True
 
     def _mark_ended(self, reason):
@@ -271,6 +321,9 @@
             if self.born:
                 logger.info("worker restarted", worker=self.entry.id, born=report.born)
             self.born, self.acknowledged, self.ends = report.born, 0, {}
+        if self.last_hold_failed:
+            silent = round_seconds(boot_time() - self.silent_since)
+            logger.info("worker answers again", worker=self.entry.id, silent=silent)
         self.clock = (report.clock, boot_time())
         self.last_report_at = boot_time()
         self.last_hold_failed = False
@@ -350,11 +403,12 @@
                 case PaceOrder():
                     await self._pace(client, order)
 
-    async def _call_until_answered(self, call, *arguments):
+    async def _call_until_answered(self, name, call, *arguments):
         """Repeat a call until it is answered; return the refusal, or ``None``."""
         while not (self.has_ended or self.is_fenced):
             try:
-                await call(*arguments)
+                with self._watched(name):
+                    await call(*arguments)
                 return None
             except WorkerNoResponseError:
                 await anyio.sleep(RETRY_DELAY_SECONDS)
@@ -369,7 +423,7 @@
     async def _stop(self, client, task, run):
         """Stop a run; afterwards the worker certainly never starts it."""
         while not (self.has_ended or self.is_fenced):
-            refusal = await self._call_until_answered(client.stop, task, run)
+            refusal = await self._call_until_answered("stop", client.stop, task, run)
             if refusal is None or refusal.reason is not Refusal.UNHEALTHY:
                 self._record_no_later_start(task, run)
                 return
@@ -378,7 +432,8 @@
     async def _pace(self, client, order):
         """Send a pace order once, without a retry."""
         try:
-            await client.pace(order.task, order.run, order.share)
+            with self._watched("pace"):
+                await client.pace(order.task, order.run, order.share)
         except (WorkerNoResponseError, WorkerRefusedError) as error:
             logger.info("pace order failed", worker=self.entry.id, reason=str(error))
         except WorkerEndedError as error:
@@ -389,11 +444,14 @@
         if is_repeat:
             self.count_repeat(order)
         self.unanswered_starts.add((order.task, order.run))
-        await client.start(order, lease_end)
+        self.watch.count_start_bytes(order)
+        with self._watched("start"):
+            await client.start(order, lease_end)
 
     async def _start(self, client, order):
         """Start a run; afterwards the worker has it or certainly never will."""
         key, may_have_started, refusal = (order.task, order.run), False, None
+        taken_at, attempt = boot_time(), 0
         while key in self.runs and not (self.has_ended or self.is_fenced):
             if not self.is_startable(order.task):
                 break
@@ -402,6 +460,8 @@
             if end is None:
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
+            attempt += 1
+            self._log_late_start(order, taken_at, attempt)
             try:
                 await self._send_start(client, order, end, may_have_started)
                 if key in self.runs or key not in self.unanswered_starts:
@@ -433,6 +493,29 @@
         if key in self.runs:
             self.runs[key] = boot_time()
 
+    def _log_late_start(self, order, taken_at, attempt):
+        """Log a start that is sent late, with its wait before it was taken to be sent.
+
+        Lines on one worker have at least ``LATE_START_LOG_SECONDS`` between them.
+        """
+        now, logged_at = boot_time(), self.late_start_logged_at
+        if now - order.placed_at <= TROUBLE_WAIT_SECONDS or (
+            logged_at is not None and now < logged_at + LATE_START_LOG_SECONDS
+        ):
+            return
+        self.late_start_logged_at = now
+        logger.info(
+            "start sent late",
+            job=order.task.job,
+            task=str(order.task),
+            run=order.run,
+            worker=self.entry.id,
+            wait=round_seconds(now - order.placed_at),
+            queued=round_seconds(taken_at - order.placed_at),
+            attempt=attempt,
+            waiting=len(self.orders),
+        )
+
     async def _settle_refused_start(self, client, order, refusal, may_have_started):
         """Make sure that a start that was given up is not carried out late."""
         key = (order.task, order.run)
