Tell which starts the link's pace holds back, and leave ended workers out

Since starts are paced below the rate of the host's link, tasks that the pace holds back are in no queue of a worker, so a pool that serves too little for that reason had no line and no metric. Now a gauge gives their number, and `orders wait for workers` is logged for them, too.

Orders for a worker that has ended are never sent; they no longer count as late.

--- a/azurelanding/link_watch.py
+++ b/azurelanding/link_watch.py
@@ -12,7 +12,7 @@
 logger = structlog.get_logger()
 
 TROUBLE_WAIT_SECONDS = 1.0
-"""Wait of an order from which a line tells that it is late."""
+"""Wait of an order, or of tasks for room on the link, from which a line tells of it."""
 TROUBLE_INTERVAL_SECONDS = 5.0
 """Shortest time between two lines on a pool in trouble."""
 
@@ -36,6 +36,9 @@
 class LinkWatch:
     """Measures the calls to the workers of one pool.
 
+    ``held_back`` is the number of ready tasks that wait for room on the host's link,
+    ``held_back_since`` the ``boot_time`` since when there are any, ``None`` without.
+
     >>> watch = LinkWatch("cuts", ServedMetrics())
     >>> with watch.call("hold", wait=1.0):
     ...     report = await client.hold(0, None, 1.0)
@@ -46,6 +49,8 @@
         self.metrics = metrics
         self.tally = CallTally()
         self.logged_at = float("-inf")
+        self.held_back = 0
+        self.held_back_since = None
 
     @contextlib.contextmanager
     def call(self, name, wait=0.0):
@@ -87,18 +92,30 @@
         """Count a connection that was opened to a worker."""
         self.metrics.count("worker_connections_opened")
 
+    def record_held_back(self, count, now):
+        """Note how many ready tasks wait for room on the host's link."""
+        self.metrics.gauge(f"starts_held_back_{self.pool}", count)
+        self.held_back = count
+        if not count:
+            self.held_back_since = None
+        elif self.held_back_since is None:
+            self.held_back_since = now
+
     def check(self, links, loop_late, now):
-        """Set the gauge of waiting orders; log if one has waited for too long.
+        """Set the gauge of waiting orders; log if orders or starts wait for too long.
 
         ``loop_late`` is the latest recent wake-up of the event loop, in seconds. The
         lines have at least ``TROUBLE_INTERVAL_SECONDS`` between them.
         """
+        # Links to workers that have ended send no orders any more.
+        links = [link for link in links if not link.has_ended]
         waiting = sum(len(link.orders) for link in links)
         self.metrics.gauge(f"orders_waiting_{self.pool}", waiting)
         oldest = max((link.orders.oldest_wait(now) for link in links), default=0.0)
         is_over = now >= self.tally.since + TROUBLE_INTERVAL_SECONDS
         may_log = now >= self.logged_at + TROUBLE_INTERVAL_SECONDS
-        is_logged = oldest > TROUBLE_WAIT_SECONDS and may_log
+        held_for = now - self.held_back_since if self.held_back else 0.0
+        is_logged = may_log and max(oldest, held_for) > TROUBLE_WAIT_SECONDS
         if not (is_logged or is_over):
             return
         tally, self.tally = self.tally, CallTally(since=now)
@@ -110,6 +127,7 @@
             pool=self.pool,
             waiting=waiting,
             oldest=round(oldest, 3),
+            held_back=self.held_back,
             links=len(links),
             silent=sum(link.last_hold_failed for link in links),
             timeouts=tally.timeouts,
@@ -122,5 +140,6 @@
         )
 
     def close(self):
-        """Set the gauge to 0, as the pool is no longer controlled here."""
+        """Set the gauges to 0, as the pool is no longer controlled here."""
         self.metrics.gauge(f"orders_waiting_{self.pool}", 0)
+        self.metrics.gauge(f"starts_held_back_{self.pool}", 0)
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -355,9 +355,10 @@
             for state in draft.jobs()
             for ready in job_placement.ready_steps(state, now, self._is_backing_off)
         ]
-        self.start_budget.set_waiting(self, False)
         if not ready_steps:
+            self._record_held_back(0)
             return []
+        self.start_budget.set_waiting(self, False)
         free_capacity = self._free_capacity(draft, self.daemon.cordoned())
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
         starts = []
@@ -373,11 +374,16 @@
             for placed in job_placement.place(ready, usable_workers, limit):
                 starts.append(self._start(draft, ready, placed))
                 self._count_start(starts[-1][1])
-        has_more = len(starts) < sum(len(ready.tasks) for ready in ready_steps)
+        left = sum(len(ready.tasks) for ready in ready_steps) - len(starts)
         is_spent = not self.start_budget.affordable(self, 1, boot_time())
-        self.start_budget.set_waiting(self, has_more and is_spent)
+        self._record_held_back(left if is_spent else 0)
         return starts
 
+    def _record_held_back(self, count):
+        """Note how many ready tasks the budget holds back."""
+        self.start_budget.set_waiting(self, count > 0)
+        self.pool_links.watch.record_held_back(count, boot_time())
+
     def _count_start(self, order):
         """Count the bytes of a start, or of its repetition, against the budget."""
         self.start_budget.spend(self, order_bytes(order))
--- a/azurelanding/tests/test_link_watch.py
+++ b/azurelanding/tests/test_link_watch.py
@@ -184,6 +184,21 @@
         self.watch.close()
         self.assertEqual(0, value_of(self.metrics, "orders_waiting_cuts"))
 
+    def test_orders_for_a_worker_that_has_ended_do_not_count_as_late(self):
+        self.links[0].has_ended = True
+        self.assertEqual([], self.lines(3.0))
+        self.assertEqual(0, value_of(self.metrics, "orders_waiting_cuts"))
+
+    def test_starts_held_back_for_a_while_are_logged(self):
+        self.links[0].orders.popleft()
+        self.watch.record_held_back(7, boot_time())
+        self.watch.record_held_back(6, boot_time() + 1.0)
+        (line,) = self.lines(0.5, 1.5)
+        self.assertEqual((0, 6), (line["waiting"], line["held_back"]))
+        self.watch.record_held_back(0, boot_time())
+        self.assertEqual([], self.lines(9.0))
+        self.assertEqual(0, value_of(self.metrics, "starts_held_back_cuts"))
+
     def test_late_orders_are_logged_with_the_state_of_the_links(self):
         expected_error = testtools.ExpectedException(WorkerNoResponseError)
         with expected_error, self.watch.call("start"):
