--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -25,6 +25,7 @@
 from azurelanding.worker_calls import Refusal, StartOrder
 from azurelanding.worker_capacity import free_capacity_by_worker
 from azurelanding.worker_health import WorkerFailureTracker
+from azurelanding.worker_link import round_seconds
 
 logger = structlog.get_logger()
 
@@ -103,6 +104,7 @@
             task_group.start_soon(self.appender.run)
             task_group.start_soon(self._follow_stream)
             task_group.start_soon(self.permits.run)
+            task_group.start_soon(self.pool_links.run_watch)
             try:
                 await self._decide_until_lost(task_group)
             finally:
@@ -300,11 +302,16 @@
 
     def _free(self, draft, link, task, run, reason):
         job_ends.record_lost_run(draft, task, run)
+        fields = {
+            "reason": reason,
+            "report_age": round_seconds(link.report_age(boot_time())),
+            "start_answered": link.runs.get((task, run)) is not None,
+        }
         link.drop_run((task, run))
         if not link.has_ended:
             # An unanswered start may still be carried out.
             link.stop_before_others(task, run)
-        log_run("run freed", link.entry.id, task, run, reason=reason)
+        log_run("run freed", link.entry.id, task, run, **fields)
 
     def _record_refusal(self, draft, link, task, run, refusal):
         now = boot_time()
@@ -373,11 +380,16 @@
                 self._count_start(starts[-1][1])
             if len(placed_tasks) < len(ready.tasks):
                 bounds.tighten()
-        has_more = len(starts) < sum(len(ready.tasks) for ready in ready_steps)
+        left = sum(len(ready.tasks) for ready in ready_steps) - len(starts)
         is_spent = not self.start_budget.affordable(self, 1, boot_time())
-        self.start_budget.set_waiting(self, has_more and is_spent)
+        self._record_held_back(left if is_spent else 0)
         return starts
 
+    def _record_held_back(self, count):
+        """Note how many ready tasks the budget holds back."""
+        self.start_budget.set_waiting(self, count > 0)
+        self.pool_links.watch.record_held_back(count, boot_time())
+
     def _count_start(self, order):
         """Count the bytes of a start, or of its repetition, against the budget."""
         self.start_budget.spend(self, order_bytes(order))
