Give up a start that was not sent to a worker that fell silent

Cause: a start whose worker's `hold` calls failed waited until they were answered again or until the lease was over, however long before it had been decided, although a start that was never sent can be placed elsewhere at once.

Now it is given back once the worker is silent, which is when placement leaves the worker out as well. One that may have been sent still waits for the lease or its answer.

--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -65,7 +65,12 @@
         self.repeats = []
 
     def start(
-        self, client, is_startable=True, is_dropped_in_flight=False, is_listed=False
+        self,
+        client,
+        is_startable=True,
+        is_dropped_in_flight=False,
+        is_listed=False,
+        is_silent=False,
     ):
         """Return the link after a start order sent over ``client``."""
 
@@ -79,6 +84,7 @@
                 self.repeats.append,
             )
             link.clock = (1.0, boot_time())
+            link.last_hold_failed = is_silent
             order = StartOrder(TASK, 1, "spec")
             link.enqueue(order)
             if is_dropped_in_flight:
@@ -119,6 +125,12 @@
         self.assertEqual([], link.not_started)
         self.assertIsNotNone(link.runs[KEY])
 
+    def test_start_that_was_not_sent_is_given_up_on_a_silent_worker(self):
+        client = ScriptedClient()
+        link = self.start(client, is_silent=True)
+        self.assertEqual([], client.calls)
+        self.assertEqual([(KEY, None)], link.not_started)
+
     def test_start_of_a_job_that_has_ended_is_not_sent(self):
         client = ScriptedClient()
         link = self.start(client, is_startable=False)
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -409,16 +409,11 @@
         """Start a run; afterwards the worker has it or certainly never will."""
         key, may_have_started, refusal = (order.task, order.run), False, None
         delays = retry_delays()
-        while self._is_wanted(order):
+        while (end := await self._lease_end_of(order, may_have_started)) is not None:
             if key in self.listed_runs:
                 # Its answer was lost or is still under way.
                 self._record_started(key)
                 return
-            self._extend_leased_until()
-            end = self.lease_end()
-            if end is None:
-                await anyio.sleep(RETRY_DELAY_SECONDS)
-                continue
             try:
                 await self._send_start(client, order, end, may_have_started)
                 if key in self.runs or key not in self.unanswered_starts:
@@ -441,6 +436,26 @@
                 await anyio.sleep(RETRY_DELAY_SECONDS)
         await self._settle_refused_start(client, order, refusal, may_have_started)
 
+    async def _lease_end_of(self, order, may_have_started):
+        """Return the end of the lease to send with a start, once there is one.
+
+        Return ``None`` if the start is no longer wanted, and if it was not sent before
+        the worker fell silent, as its task can then start elsewhere at once.
+        """
+        while self._is_wanted(order):
+            self._extend_leased_until()
+            end = self.lease_end()
+            if end is not None:
+                return end
+            if self.is_silent and not may_have_started:
+                fields = {"task": str(order.task), "run": order.run}
+                logger.info(
+                    "start not sent to a silent worker", worker=self.entry.id, **fields
+                )
+                return None
+            await anyio.sleep(RETRY_DELAY_SECONDS)
+        return None
+
     def _is_wanted(self, order):
         """Return whether a start is still to be carried out."""
         is_over = self.has_ended or self.is_fenced
