Acknowledge no ends to a worker that may have restarted

What callers could see: a task that runs twice after its worker crashed and started again under its id.

Cause: after an unanswered `hold`, the next one on a new connection acknowledged the ends of the incarnation known so far. A later one numbers its ends anew. Orders reach it over connections of their own, so it may have carried out a repeated start and ended it before that call, which then dropped the end unread. Its run was freed as `not listed by its worker`.

Evidence: the test restarts a silent worker and lets a run end on it; with the code before, the end was never read (seen failing with TimeoutError).

From an unanswered or overdue call to the next report, a `hold` call acknowledges nothing. The same incarnation has dropped the earlier ends or returns them again, which the link ignores by their number.

--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -4,7 +4,8 @@
 import testtools
 
 from azurelanding.jobs import RunEnd, TaskId
-from azurelanding.standins.platform_worker import WorkerModel
+from azurelanding.standins.platform_worker import WorkerFleet, WorkerModel
+from azurelanding.tests.platform_world import until
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
     ListedEnd,
@@ -227,6 +228,34 @@
         self.link.acknowledge(1, 2)
         self.assertEqual({}, self.link.ends)
 
+    def test_ends_are_read_from_a_worker_that_restarted_while_it_was_silent(self):
+        # They were dropped unread, so that the tasks ran twice.
+        async def main():
+            fleet = WorkerFleet()
+            model = fleet.add(WorkerModel("w", "cuts"))
+            self.link = WorkerLink(
+                model.entry(),
+                lambda entry: fleet.client(entry, 1, 6.0),
+                6.0,
+                lambda: None,
+                lambda task: True,
+            )
+            self.link.acknowledge(57, 1)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(self.link.follow)
+                await until(lambda: self.link.report_count)
+                model.knobs.silent = True
+                await until(lambda: self.link.last_hold_failed)
+                model.restart()
+                model.start(StartOrder(TASK, 1, "spec"), boot_time() + 6.0, False)
+                model.stop(TASK, 1)
+                model.knobs.silent = False
+                await until(lambda: self.link.ends, 2.0)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual({1}, self.link.ends.keys())
+
 
 class HoldClient:
     """Answers ``hold`` with the given reports in turn, the first of them after a delay.
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -76,6 +76,8 @@
     - ``has_answered`` is set once the worker answered under this epoch.
     - ``last_hold_failed`` is set from an unanswered or overdue ``hold`` call to the
       next report.
+    - ``may_have_restarted`` is set from any unanswered or overdue ``hold`` call to the
+      next report: another incarnation, with ends of its own, may answer the next call.
     - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
       flight on the first connection is overdue, ``None`` without such a call.
 
@@ -120,6 +122,7 @@
         self.has_ended = False
         self.is_fenced = False
         self.last_hold_failed = False
+        self.may_have_restarted = False
         self.overdue_at = None
         self.overdue_delay = AnswerTimeout(
             SHORTEST_OVERDUE_SECONDS, lease / OVERDUE_CALLS_PER_LEASE
@@ -221,8 +224,10 @@
         self._extend_leased_until()
         sent_at = boot_time()
         try:
-            report = await client.hold(self.acknowledged, self.lease_end(), wait)
+            last_seen = 0 if self.may_have_restarted else self.acknowledged
+            report = await client.hold(last_seen, self.lease_end(), wait)
         except WorkerNoResponseError as error:
+            self.may_have_restarted = True
             if self.last_report_at is None or self.last_report_at < sent_at:
                 self._record_no_response(str(error))
             self.overdue_delay.record_no_answer(self.overdue_delay.seconds)
@@ -250,7 +255,7 @@
     def _record_no_response(self, reason):
         if not self.last_hold_failed:
             logger.info("worker does not answer", worker=self.entry.id, reason=reason)
-        self.last_hold_failed = True
+        self.last_hold_failed = self.may_have_restarted = True
 
     def _mark_ended(self, reason):
         logger.info("worker ended", worker=self.entry.id, reason=reason)
@@ -273,7 +278,7 @@
             self.born, self.acknowledged, self.ends = report.born, 0, {}
         self.clock = (report.clock, boot_time())
         self.last_report_at = boot_time()
-        self.last_hold_failed = False
+        self.last_hold_failed = self.may_have_restarted = False
         self.report_count += 1
         self.listed_runs = {(run.task, run.run): run for run in report.runs}
         self._update_progress()
