--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -99,6 +99,8 @@
     - ``has_answered`` is set once the worker answered under this epoch.
     - ``last_hold_failed`` is set from an unanswered or overdue ``hold`` call to the
       next report.
+    - ``may_have_restarted`` is set from any unanswered or overdue ``hold`` call to the
+      next report: another incarnation, with ends of its own, may answer the next call.
     - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
       flight on the first connection is overdue, ``None`` without such a call.
     - ``unanswered_calls`` is the number of calls without an answer since the last one
@@ -152,6 +154,7 @@
         self.has_ended = False
         self.is_fenced = False
         self.last_hold_failed = False
+        self.may_have_restarted = False
         self.overdue_at = None
         self.overdue_delay = AnswerTimeout(
             SHORTEST_OVERDUE_SECONDS, lease / OVERDUE_CALLS_PER_LEASE
@@ -274,9 +277,11 @@
         self._extend_leased_until()
         sent_at = boot_time()
         try:
+            last_seen = 0 if self.may_have_restarted else self.acknowledged
             with self._watched("hold", wait):
-                report = await client.hold(self.acknowledged, self.lease_end(), wait)
+                report = await client.hold(last_seen, self.lease_end(), wait)
         except WorkerNoResponseError as error:
+            self.may_have_restarted = True
             if self.last_report_at is None or self.last_report_at < sent_at:
                 self._record_no_response(str(error))
             self.overdue_delay.record_no_answer(self.overdue_delay.seconds)
@@ -313,7 +318,7 @@
                 unanswered=self.unanswered_calls,
                 report_age=round_seconds(self.report_age(now)),
             )
-        self.last_hold_failed = True
+        self.last_hold_failed = self.may_have_restarted = True
 
     def _mark_ended(self, reason):
         logger.info("worker ended", worker=self.entry.id, reason=reason)
@@ -339,7 +344,7 @@
             logger.info("worker answers again", worker=self.entry.id, silent=silent)
         self.clock = (report.clock, boot_time())
         self.last_report_at = boot_time()
-        self.last_hold_failed = False
+        self.last_hold_failed = self.may_have_restarted = False
         self.report_count += 1
         self.listed_runs = {(run.task, run.run): run for run in report.runs}
         self._update_progress()
