Send no further starts to a worker that leaves several unanswered

Cause: placement looks at a worker's free capacity and at its reports, not at whether it answers starts. Tasks went on being bound to a worker behind starts that it had not answered, where no other worker could take them until its lease was over.

A worker with as many starts unanswered for 0.3 s as there are order connections gets no more until they are answered. What can wait behind a slow worker is thus what one pass had placed on it. 0.3 s is several times the usual latency between availability zones, so a worker that answers is not passed over.

test_worker_that_is_slow_to_start_tasks_holds_up_no_others was seen failing without the new condition in is_usable: the second job waited for the slow worker.

--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -26,16 +26,17 @@
     """The run time and the injected faults of a worker; times are in seconds.
 
     A ``silent`` worker ignores every call. ``lose_replies`` is the number of orders
-    still to be carried out without a response. ``fail_all`` fails every run. With
-    ``stalled``, runs make no progress and don't end. ``tail_latency_ms`` is the high
-    percentile of response times, in milliseconds, that the worker reports for its runs
-    while none is throttled; it is multiplied by the lowest share in ``paces``.
-    ``refuse`` refuses every call for that reason.
+    still to be carried out without a response. Starts take ``start_delay`` longer.
+    ``fail_all`` fails every run. With ``stalled``, runs make no progress and don't end.
+    ``tail_latency_ms`` is the high percentile of response times, in milliseconds, that
+    the worker reports for its runs while none is throttled; it is multiplied by the
+    lowest share in ``paces``. ``refuse`` refuses every call for that reason.
     """
 
     run_time: float = 0.05
     silent: bool = False
     lose_replies: int = 0
+    start_delay: float = 0.0
     fail_all: bool = False
     stalled: bool = False
     tail_latency_ms: float = 0.0
@@ -232,6 +233,7 @@
 
     async def start(self, order, lease_end):
         """Start a run."""
+        await anyio.sleep(self.fleet.models[self.worker.id].knobs.start_delay)
         model = await self._begin_call()
         model.start(order, lease_end, order.task.job in self.fleet.long_running)
         self._raise_if_answer_lost(model)
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -340,6 +340,21 @@
         world = self.run_site(scenario, link_rate=50_000.0, lease=6.0)
         self.assertEqual([1] * 40, list(count_starts(world, bulk).values()))
 
+    def test_worker_that_is_slow_to_start_tasks_holds_up_no_others(self):
+        stuck = make_job("a" * 16, (make_step(2),))
+        later = make_job("b" * 16, (make_step(2),))
+
+        async def scenario(world):
+            world.fleet.models["w0"].knobs.start_delay = 5.0
+            await submit(world, stuck)
+            await anyio.sleep(0.5)
+            await submit(world, later)
+            await until_phase(world, later, JobPhase.COMPLETED)
+            started = {task for task, _ in world.fleet.models["w1"].started}
+            self.assertEqual({later.id}, {task.job for task in started})
+
+        self.run_site(scenario, lease=6.0)
+
     def test_gang_larger_than_the_burst_of_the_link_starts(self):
         step = make_step(12, need=Resources(0.1, 1 << 20, 0), gang=True)
         job = attrs.evolve(make_job(steps=(step,)), spec="s" * 2_400)
--- a/azurelanding/worker_capacity.py
+++ b/azurelanding/worker_capacity.py
@@ -18,6 +18,7 @@
         and link.has_answered
         and not (link.has_ended or link.is_silent)
         and now >= link.no_starts_until
+        and not link.has_slow_starts(now)
         and not worker_failures.is_suspended(entry.id, now)
     )
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -53,6 +53,9 @@
 """Added to a lease for the latency of the last call that extended it."""
 TAKEOVER_SLACK_SECONDS = 2.0
 """How long a superseded controller may still extend a worker's lease."""
+SLOW_START_SECONDS = 0.3
+"""Age from which an unanswered start shows that its worker is slow. As many such starts
+as there are order connections delay all further ones."""
 UNHEALTHY_BACKOFF_SECONDS = 1.0
 """How long a worker gets no starts after it refused one as unhealthy."""
 LATE_START_LOG_SECONDS = 1.0
@@ -83,6 +86,8 @@
       unanswered.
     - ``unanswered_starts`` are the runs whose start was sent and that the worker may
       still start: no answer, stop or end has shown otherwise.
+    - ``start_times`` maps the runs whose start is unanswered to the ``boot_time`` at
+      which it was queued, and may still hold others.
     - ``listed_runs`` are the runs in progress in the last report, ``working_since`` the
       times since when each of them works without a break, ``progress`` their
       ``RunProgress``.
@@ -136,6 +141,7 @@
         self.watch = watch
         self.runs = {}
         self.unanswered_starts = set()
+        self.start_times = {}
         self.listed_runs = {}
         self.working_since = {}
         self.progress = {}
@@ -399,9 +405,20 @@
         """Append an order to the queue of orders."""
         if isinstance(order, StartOrder):
             self.runs[order.task, order.run] = None
+            self.start_times[order.task, order.run] = boot_time()
         self.orders.append(order)
         self.order_added.notify()
 
+    def has_slow_starts(self, now):
+        """Return whether further starts would wait long behind unanswered ones."""
+        self.start_times = {
+            key: at
+            for key, at in self.start_times.items()
+            if self.runs.get(key, now) is None
+        }
+        slow = sum(now > at + SLOW_START_SECONDS for at in self.start_times.values())
+        return slow >= ORDER_CONNECTION_COUNT
+
     def stop_before_others(self, task, run):
         """Queue the stop of a run ahead of all other orders."""
         self.orders.appendleft(StopOrder(task, run))
