Keep a reserve's membership when its look at the holders is lost

What callers would see: pools without a controller for seconds, on sites where every link is thin, whenever the store loses an answer or is slow.

Cause: a reserve looks at the holders every second time before it joins again, and did not join if that look failed. A look had 1.2 s, which is all of the membership, so a single lost answer ended it, and the store gave the pools to others.

Evidence: the test loses the answers of all looks and none of the joins; with the code before, both members of a site with thin links were out of the group within a second even though each look failed after half a second (seen failing with "[True, True] != [False, False]").

A look now has the time of a join, and a member that can't look joins again anyway. Two such calls fit into a membership, as two joins did.

--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -211,11 +211,19 @@
             await self.client.leave(self.group, self.name)
 
     async def _is_reserve_needed(self):
-        """Return whether no member of a lower rank holds a partition, else leave."""
+        """Return whether no member of a lower rank holds a partition, else leave.
+
+        A member that can't read the holders stays: joins may still be answered.
+        """
         if self.has_joined and boot_time() < self.next_look_at:
             return True
         self.next_look_at = boot_time() + RESERVE_INTERVAL_SECONDS
-        holders = await self._holders()
+        try:
+            holders = await self._holders()
+        except StoreError:
+            if self.has_joined:
+                return True
+            raise
         if not holders and not self.has_joined:
             await anyio.sleep(RESERVE_DELAY_SECONDS * self.rank)
             holders = await self._holders()
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -27,8 +27,9 @@
 """Timeout of a call; longer than the slowest answers of a store that is 60 times
 slower than its usual 4 ms."""
 JOIN_TIMEOUT_SECONDS = 0.5
-"""Timeout of a join; less than half of the shortest membership that is requested, so
-that a join whose answer is lost can be repeated before the membership expires."""
+"""Timeout of a join, and of a read of the holders before it; less than half of the
+shortest membership that is requested, so that a join whose answer is lost can be
+repeated before the membership expires."""
 MAX_READ_KILOBYTES = 1024
 """Longest answer to a read, which is the store's default."""
 MIN_READ_KILOBYTES = 64
@@ -257,7 +258,9 @@
 
         The keys are pairs of topic and partition number; free partitions are left out.
         """
-        status, content = await self._call("GET", "log-owners", {"group": group})
+        status, content = await self._call(
+            "GET", "log-owners", {"group": group}, timeout=JOIN_TIMEOUT_SECONDS
+        )
         if status == http.HTTPStatus.NOT_FOUND:
             return {}
         if status != http.HTTPStatus.OK:
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -48,13 +48,15 @@
     ``refuse`` refuses every call. ``lose_replies`` is the number of appends still to
     be applied without a response, ``delay_appends`` the number of appends still to be
     delayed until ``StoreModel.release``. If ``unanswered_join_seconds`` is not 0,
-    every other join is applied but fails as unanswered after that many seconds.
+    every other join is applied but fails as unanswered after that many seconds. If
+    ``unanswered_owners_seconds`` is not 0, every read of the holders does.
     """
 
     refuse: bool = False
     lose_replies: int = 0
     delay_appends: int = 0
     unanswered_join_seconds: float = 0.0
+    unanswered_owners_seconds: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -389,6 +391,9 @@
     async def owners(self, group):
         """Return the holders of partitions as ``StoreClient.owners`` does."""
         await self._check_reachable()
+        if self.model.knobs.unanswered_owners_seconds:
+            await anyio.sleep(self.model.knobs.unanswered_owners_seconds)
+            raise StoreNoResponseError("no response from the store")
         return self.model.owners(group)
 
     async def close(self):
--- a/azurelanding/tests/test_membership.py
+++ b/azurelanding/tests/test_membership.py
@@ -158,6 +158,18 @@
 
         self.run_daemons(scenario, 625_000.0, 625_000.0)
 
+    def test_lost_answers_of_the_looks_at_the_holders_do_not_end_the_membership(self):
+        async def scenario(store, members):
+            await until(lambda: self.partition_counts(members) == [2, 2], 4.0)
+            held = [dict(member.holdings) for member in members]
+            store.knobs.unanswered_owners_seconds = JOIN_TIMEOUT_SECONDS
+            for _ in range(40):
+                await anyio.sleep(0.1)
+                self.assertEqual([True, True], [m.is_valid for m in members])
+            self.assertEqual(held, [member.holdings for member in members])
+
+        self.run_daemons(scenario, 625_000.0, 625_000.0)
+
 
 class SingleHolderTest(testtools.TestCase):
     """The group of the fleet controller, a role that one daemon holds at a time."""
