Give a pool that looks often its share of the link's budget

What callers would see: one of two busy pools on one link is hardly served.

Cause: each pass of a controller first noted that it waits no more, and then refilled the budget, so all that was earned since the last refill went to the others. The more often a controller looks, as events wake it, the less it kept; unused balances of the others were capped and lost nothing to it.

Evidence: one pool that looks every 4 ms beside one that looks every 0.25 s, both with ready tasks at all times, sent 277 KB against 7,210 KB in 10 s (the new test, seen failing on the code before).

What was earned until a controller starts or stops to wait is now shared out among those that waited until then, and a controller waits until its pass shows otherwise.

--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -349,8 +349,8 @@
             for state in draft.jobs()
             for ready in job_placement.ready_steps(state, now, self._is_backing_off)
         ]
-        self.start_budget.set_waiting(self, False)
         if not ready_steps:
+            self.start_budget.set_waiting(self, False, boot_time())
             return []
         free_capacity = self._free_capacity(draft, self.daemon.cordoned())
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
@@ -369,7 +369,7 @@
                 self._count_start(starts[-1][1])
         has_more = len(starts) < sum(len(ready.tasks) for ready in ready_steps)
         is_spent = not self.start_budget.affordable(self, 1, boot_time())
-        self.start_budget.set_waiting(self, has_more and is_spent)
+        self.start_budget.set_waiting(self, has_more and is_spent, boot_time())
         return starts
 
     def _count_start(self, order):
--- a/azurelanding/start_budget.py
+++ b/azurelanding/start_budget.py
@@ -105,8 +105,12 @@
         if self.rate is not None and controller in self.budgets:
             self.budgets[controller].balance -= size
 
-    def set_waiting(self, controller, is_waiting):
-        """Note whether the budget holds back ready tasks of a controller."""
+    def set_waiting(self, controller, is_waiting, now):
+        """Note whether the budget holds back ready tasks of a controller from now on.
+
+        What was earned until ``now`` goes to those that waited until then.
+        """
+        self._refill(now)
         self.budgets[controller].is_waiting = is_waiting
 
     def seconds_to_wait(self, controller, now):
--- a/azurelanding/tests/test_start_budget.py
+++ b/azurelanding/tests/test_start_budget.py
@@ -27,7 +27,7 @@
     count = budget.affordable(pool, size, now)
     for _ in range(count):
         budget.spend(pool, size)
-    budget.set_waiting(pool, True)
+    budget.set_waiting(pool, True, now)
     return count * size
 
 
@@ -62,6 +62,18 @@
         self.assertTrue(0.9 < sent["cuts"] / sent["previews"] < 1.1, sent)
         self.assertTrue(sum(sent.values()) > 0.55 * 10.0 * LINK_RATE, sent)
 
+    def test_pool_that_looks_often_gets_its_share_beside_a_pool_that_looks_rarely(self):
+        intervals = {"busy": 0.004, "calm": 0.25}
+        budget, sent = make_budget(*intervals), dict.fromkeys(intervals, 0)
+        next_pass_at = dict.fromkeys(intervals, 0.0)
+        while (now := min(next_pass_at.values())) < 10.0:
+            pool = min(next_pass_at, key=next_pass_at.get)
+            budget.set_waiting(pool, False, now)
+            sent[pool] += send(budget, pool, now)
+            wait = min(intervals[pool], budget.seconds_to_wait(pool, now))
+            next_pass_at[pool] = now + max(0.004, wait)
+        self.assertTrue(0.9 < sent["busy"] / sent["calm"] < 1.1, sent)
+
     def test_start_larger_than_the_burst_is_sent_and_paid_for(self):
         budget, size = make_budget("cuts"), 1_000_000
         self.assertEqual(size, send(budget, "cuts", 1.0, size))
@@ -77,13 +89,13 @@
 
     def test_pool_without_held_back_tasks_waits_for_nothing(self):
         budget = make_budget("cuts")
-        budget.set_waiting("cuts", False)
+        budget.set_waiting("cuts", False, 0.0)
         self.assertEqual(math.inf, budget.seconds_to_wait("cuts", 0.0))
 
     def test_link_of_unknown_rate_is_not_limited(self):
         budget = make_budget("cuts", link_rate=None)
         self.assertEqual(math.inf, budget.affordable("cuts", SIZE, 0.0))
-        budget.set_waiting("cuts", True)
+        budget.set_waiting("cuts", True, 0.0)
         self.assertEqual(math.inf, budget.seconds_to_wait("cuts", 0.0))
 
     def test_repeat_of_a_pool_that_left_is_not_counted(self):
