--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -360,7 +360,6 @@
                 state, now, self._is_backing_off, bounds.may_fit
             )
         ]
-        self.start_budget.set_waiting(self, False)
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
         starts = []
         for ready in ready_steps:
@@ -387,8 +386,9 @@
 
     def _record_held_back(self, count):
         """Note how many ready tasks the budget holds back."""
-        self.start_budget.set_waiting(self, count > 0)
-        self.pool_links.watch.record_held_back(count, boot_time())
+        now = boot_time()
+        self.start_budget.set_waiting(self, count > 0, now)
+        self.pool_links.watch.record_held_back(count, now)
 
     def _count_start(self, order):
         """Count the bytes of a start, or of its repetition, against the budget."""
