Split the sending of orders from the link to a worker

Its state, leases and reports stay in worker_link; the orders go into functions of worker_orders, which take the link. Methods that both use are public now. No behaviour changes; the tests call the functions by their new names.

--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from azurelanding import worker_orders
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.link_watch import LinkWatch
 from azurelanding.utils import boot_time
@@ -115,7 +116,7 @@
                 for follow in link.followers():
                     task_group.start_soon(follow)
                 for client in link.order_clients:
-                    task_group.start_soon(link.send_orders, client)
+                    task_group.start_soon(worker_orders.send_orders, link, client)
         with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_SECONDS):
             await link.close()
 
--- a/azurelanding/tests/test_link_watch.py
+++ b/azurelanding/tests/test_link_watch.py
@@ -5,7 +5,7 @@
 import structlog
 import testtools
 
-from azurelanding import link_watch, loop_watch, pool_stops, worker_link
+from azurelanding import link_watch, loop_watch, pool_stops, worker_link, worker_orders
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.jobs import TaskId
 from azurelanding.link_watch import LinkWatch
@@ -128,11 +128,13 @@
         self.assertEqual(0, value_of(self.metrics, "hold_call_seconds_sum"))
 
     def test_late_starts_of_one_worker_are_logged_at_most_once_a_second(self):
-        link = make_link()
-        link._log_late_start(make_start(0.5), boot_time(), 1)
+        link, lines = make_link(), capture_lines(self, worker_orders)
+        worker_orders.log_late_start(link, make_start(0.5), boot_time(), 1)
         for run in (1, 2, 3):
-            link._log_late_start(make_start(3.0, run), boot_time() - 1.0, 2)
-        (line,) = self.lines
+            worker_orders.log_late_start(
+                link, make_start(3.0, run), boot_time() - 1.0, 2
+            )
+        (line,) = lines
         self.assertEqual((1, 2), (line["run"], line["attempt"]))
         self.assertEqual((3, 2), (round(line["wait"]), round(line["queued"])))
 
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -4,6 +4,7 @@
 import msgspec
 import testtools
 
+from azurelanding import worker_orders
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
 from azurelanding.http_server import HttpServer, read_body, send_reply
 from azurelanding.jobs import TaskId
@@ -89,7 +90,9 @@
         async def start(link, task_group):
             link.clock = (boot_time(), boot_time())
             link.enqueue(StartOrder(TASK, 1, "spec"))
-            task_group.start_soon(link.send_orders, link.order_clients[0])
+            task_group.start_soon(
+                worker_orders.send_orders, link, link.order_clients[0]
+            )
             with anyio.move_on_after(LEASE_SECONDS):
                 while link.runs[KEY] is None:  # noqa: ASYNC110
                     await anyio.sleep(0.02)
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -3,6 +3,7 @@
 import anyio
 import testtools
 
+from azurelanding import worker_orders
 from azurelanding.jobs import RunEnd, TaskId
 from azurelanding.standins.platform_worker import WorkerFleet, WorkerModel
 from azurelanding.tests.platform_world import make_link, until
@@ -90,7 +91,7 @@
                 run = ListedRun(*KEY, "", 0.0, 0.0)
                 client.during_start = lambda: link.listed_runs.update({KEY: run})
             with anyio.fail_after(5):
-                await link._start(client, order)
+                await worker_orders.start(link, client, order)
             return link
 
         return anyio.run(main)
@@ -172,7 +173,7 @@
             order = StartOrder(TASK, 1, "spec")
             link.enqueue(order)
             with anyio.fail_after(5):
-                await link._start(client, order)
+                await worker_orders.start(link, client, order)
             return link, is_extended != [None]
 
         return anyio.run(main)
@@ -188,7 +189,7 @@
         link.unanswered_starts.add(KEY)
         self.assertIsNone(link.lease_end())
         before = link.leased_until
-        link._extend_leased_until()
+        link.extend_leased_until()
         self.assertEqual(before, link.leased_until)
 
     def test_unhealthy_worker_is_asked_again_to_stop(self):
@@ -198,7 +199,7 @@
         async def main():
             link = self.make_link(client)
             link.unanswered_starts.add(KEY)
-            await link._stop(client, *KEY)
+            await worker_orders.stop(link, client, *KEY)
             return link
 
         link = anyio.run(main)
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -1,11 +1,9 @@
-"""Link a pool's controller to one worker: extend its lease, read reports, send orders.
+"""Link a pool's controller to one worker: extend its lease and read its reports.
 
 The calls to a worker use a few connections, each with a task of its own. One repeats
 the ``hold`` call, a long poll that extends the lease and returns a report when a run
 ends. While its answer is overdue, a second one makes the calls, and whichever answer
-comes first is used. The others send orders. An unanswered order may still be carried
-out much later. A start is therefore repeated until it is answered, and a run that must
-no longer start is stopped: the worker remembers the stop and refuses a late start.
+comes first is used. The others send orders, see ``worker_orders``.
 """
 
 import contextlib
@@ -14,12 +12,10 @@
 import structlog
 
 from azurelanding.answer_timeout import AnswerTimeout
-from azurelanding.link_watch import TROUBLE_WAIT_SECONDS
 from azurelanding.order_queue import OrderQueue
 from azurelanding.run_progress import RunProgress
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import (
-    PaceOrder,
     Refusal,
     StartOrder,
     StopOrder,
@@ -45,8 +41,6 @@
 """Connections for orders; an unanswered order on one does not delay the others."""
 RETRY_DELAY_SECONDS = 0.15
 """Delay before an unanswered call is repeated; it doubles for an order."""
-LONGEST_RETRY_DELAY_SECONDS = 0.6
-"""Longest delay before an unanswered order is repeated."""
 CLOCK_DRIFT_SHARE = 0.02
 """How much slower a worker's clock may run than the daemon's, as a share."""
 LEASE_SLACK_SECONDS = 0.3
@@ -56,10 +50,6 @@
 SLOW_START_SECONDS = 0.3
 """Age from which an unanswered start shows that its worker is slow. As many such starts
 as there are order connections delay all further ones."""
-UNHEALTHY_BACKOFF_SECONDS = 1.0
-"""How long a worker gets no starts after it refused one as unhealthy."""
-LATE_START_LOG_SECONDS = 1.0
-"""Shortest time between two lines on late starts of one worker."""
 
 
 def round_seconds(seconds):
@@ -67,17 +57,6 @@
     return None if seconds is None else round(seconds, 3)
 
 
-def retry_delays():
-    """Yield the delays before an unanswered order is repeated, in seconds.
-
-    They grow, because orders that are repeated add to the load of a full link.
-    """
-    delay = RETRY_DELAY_SECONDS
-    while True:
-        yield delay
-        delay = min(LONGEST_RETRY_DELAY_SECONDS, 2.0 * delay)
-
-
 class WorkerLink:
     """One worker's state as a pool's controller knows it, and the tasks that call it.
 
@@ -210,7 +189,7 @@
         is_reachable = self.clock is not None and not self.last_hold_failed
         return is_reachable and self.unanswered_starts <= self.runs.keys()
 
-    def _extend_leased_until(self):
+    def extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
         if self._may_extend_lease():
             end = (
@@ -227,7 +206,7 @@
         return None if self.last_report_at is None else now - self.last_report_at
 
     @contextlib.contextmanager
-    def _watched(self, name, wait=0.0):
+    def watched(self, name, wait=0.0):
         """Measure a call and count the unanswered ones in a row."""
         try:
             with self.watch.call(name, wait):
@@ -280,11 +259,11 @@
 
     async def _hold(self, client, wait):
         """Make one ``hold`` call and apply its report or its error."""
-        self._extend_leased_until()
+        self.extend_leased_until()
         sent_at = boot_time()
         try:
             last_seen = 0 if self.may_have_restarted else self.acknowledged
-            with self._watched("hold", wait):
+            with self.watched("hold", wait):
                 report = await client.hold(last_seen, self.lease_end(), wait)
         except WorkerNoResponseError as error:
             self.may_have_restarted = True
@@ -293,9 +272,9 @@
             self.overdue_delay.record_no_answer(self.overdue_delay.seconds)
             await anyio.sleep(RETRY_DELAY_SECONDS)
         except WorkerEndedError as error:
-            self._mark_ended(str(error))
+            self.mark_ended(str(error))
         except WorkerRefusedError as error:
-            self._handle_refusal(error)
+            self.handle_refusal(error)
             await anyio.sleep(RETRY_DELAY_SECONDS)
         else:
             delay = boot_time() - sent_at - wait
@@ -326,11 +305,13 @@
             )
         self.last_hold_failed = self.may_have_restarted = True
 
-    def _mark_ended(self, reason):
+    def mark_ended(self, reason):
+        """Record that the worker's incarnation has ended."""
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
 
-    def _handle_refusal(self, error):
+    def handle_refusal(self, error):
+        """Log a refused call; one that was refused as superseded ends the link."""
         if error.reason is Refusal.FENCED:
             logger.warning(
                 "worker refused the epoch as superseded", worker=self.entry.id
@@ -359,7 +340,7 @@
         new_ends = [end for end in report.ends if end.number > self.acknowledged]
         ended = {(end.task, end.run) for end in new_ends}
         for key in ended:
-            self._record_no_later_start(*key)
+            self.record_no_later_start(*key)
         self.ends.update((end.number, end) for end in new_ends)
         for key, counted_from in list(self.runs.items()):
             is_counted = counted_from is not None and counted_from < sent_at
@@ -369,7 +350,7 @@
         if new_ends or self.lost_runs or not had_answered:
             self.notify()
 
-    def _record_no_later_start(self, task, run):
+    def record_no_later_start(self, task, run):
         """Record that the worker will not start ``run`` of a task or an earlier one."""
         self.unanswered_starts = {
             key for key in self.unanswered_starts if key[0] != task or key[1] > run
@@ -429,127 +410,7 @@
         self.orders.appendleft(StopOrder(task, run))
         self.order_added.notify()
 
-    async def send_orders(self, client):
-        """Send orders over one connection until the worker has ended."""
-        while not (self.has_ended or self.is_fenced):
-            await self.order_added.wait_until(lambda: bool(self.orders))
-            if not self.orders:
-                continue
-            order = self.orders.popleft()
-            match order:
-                case StartOrder():
-                    await self._start(client, order)
-                case StopOrder():
-                    await self._stop(client, order.task, order.run)
-                case PaceOrder():
-                    await self._pace(client, order)
-
-    async def _call_until_answered(self, name, call, *arguments):
-        """Repeat a call until it is answered; return the refusal, or ``None``."""
-        delays = retry_delays()
-        while not (self.has_ended or self.is_fenced):
-            try:
-                with self._watched(name):
-                    await call(*arguments)
-                return None
-            except WorkerNoResponseError:
-                await anyio.sleep(next(delays))
-            except WorkerEndedError as error:
-                self._mark_ended(str(error))
-            except WorkerRefusedError as error:
-                if error.reason is Refusal.FENCED:
-                    self._handle_refusal(error)
-                return error
-        return None
-
-    async def _stop(self, client, task, run):
-        """Stop a run; afterwards the worker certainly never starts it."""
-        while not (self.has_ended or self.is_fenced):
-            refusal = await self._call_until_answered("stop", client.stop, task, run)
-            if refusal is None or refusal.reason is not Refusal.UNHEALTHY:
-                self._record_no_later_start(task, run)
-                return
-            await anyio.sleep(RETRY_DELAY_SECONDS)
-
-    async def _pace(self, client, order):
-        """Send a pace order once, without a retry."""
-        try:
-            with self._watched("pace"):
-                await client.pace(order.task, order.run, order.share)
-        except (WorkerNoResponseError, WorkerRefusedError) as error:
-            logger.info("pace order failed", worker=self.entry.id, reason=str(error))
-        except WorkerEndedError as error:
-            self._mark_ended(str(error))
-
-    async def _send_start(self, client, order, lease_end, is_repeat):
-        """Send a start once; until it is answered, the run may start at any time."""
-        if is_repeat:
-            self.count_repeat(order)
-        self.unanswered_starts.add((order.task, order.run))
-        self.watch.count_start_bytes(order)
-        with self._watched("start"):
-            await client.start(order, lease_end)
-
-    async def _start(self, client, order):
-        """Start a run; afterwards the worker has it or certainly never will."""
-        key, may_have_started, refusal = (order.task, order.run), False, None
-        taken_at, attempt, delays = boot_time(), 0, retry_delays()
-        while (end := await self._lease_end_of(order, may_have_started)) is not None:
-            if key in self.listed_runs:
-                # Its answer was lost or is still under way.
-                self._record_started(key)
-                return
-            attempt += 1
-            self._log_late_start(order, taken_at, attempt)
-            try:
-                await self._send_start(client, order, end, may_have_started)
-                if key in self.runs or key not in self.unanswered_starts:
-                    self._record_started(key)
-                    return
-                may_have_started = True
-            except WorkerNoResponseError as error:
-                may_have_started = may_have_started or error.sent
-                await anyio.sleep(next(delays))
-            except WorkerEndedError as error:
-                self._mark_ended(str(error))
-            except WorkerRefusedError as error:
-                refusal = error.reason
-                if refusal is Refusal.OLD_RUN and may_have_started:
-                    # An earlier attempt started it and it ended: a report states how.
-                    self._record_started(key)
-                    return
-                if refusal is not Refusal.LEASE_OVER:
-                    break
-                await anyio.sleep(RETRY_DELAY_SECONDS)
-        await self._settle_refused_start(client, order, refusal, may_have_started)
-
-    async def _lease_end_of(self, order, may_have_started):
-        """Return the end of the lease to send with a start, once there is one.
-
-        Return ``None`` if the start is no longer wanted, and if it was not sent before
-        the worker fell silent, as its task can then start elsewhere at once.
-        """
-        while self._is_wanted(order):
-            self._extend_leased_until()
-            end = self.lease_end()
-            if end is not None:
-                return end
-            if self.is_silent and not may_have_started:
-                fields = {"task": str(order.task), "run": order.run}
-                logger.info(
-                    "start not sent to a silent worker", worker=self.entry.id, **fields
-                )
-                return None
-            await anyio.sleep(RETRY_DELAY_SECONDS)
-        return None
-
-    def _is_wanted(self, order):
-        """Return whether a start is still to be carried out."""
-        is_over = self.has_ended or self.is_fenced
-        is_expected = (order.task, order.run) in self.runs
-        return is_expected and not is_over and self.is_startable(order.task)
-
-    def _record_started(self, key):
+    def record_started(self, key):
         """Let the reports show from now on whether a run is lost.
 
         Its end may already be recorded, if a report came before the answer.
@@ -558,47 +419,6 @@
         if key in self.runs:
             self.runs[key] = boot_time()
 
-    def _log_late_start(self, order, taken_at, attempt):
-        """Log a start that is sent late, with its wait before it was taken to be sent.
-
-        Lines on one worker have at least ``LATE_START_LOG_SECONDS`` between them.
-        """
-        now, logged_at = boot_time(), self.late_start_logged_at
-        if now - order.placed_at <= TROUBLE_WAIT_SECONDS or (
-            logged_at is not None and now < logged_at + LATE_START_LOG_SECONDS
-        ):
-            return
-        self.late_start_logged_at = now
-        logger.info(
-            "start sent late",
-            job=order.task.job,
-            task=str(order.task),
-            run=order.run,
-            worker=self.entry.id,
-            wait=round_seconds(now - order.placed_at),
-            queued=round_seconds(taken_at - order.placed_at),
-            attempt=attempt,
-            waiting=len(self.orders),
-        )
-
-    async def _settle_refused_start(self, client, order, refusal, may_have_started):
-        """Make sure that a start that was given up is not carried out late."""
-        key = (order.task, order.run)
-        if refusal is Refusal.FENCED:
-            self.is_fenced = True
-        if refusal is Refusal.UNHEALTHY:
-            self.no_starts_until = boot_time() + UNHEALTHY_BACKOFF_SECONDS
-        if may_have_started:
-            if key in self.unanswered_starts:
-                await self._stop(client, order.task, order.run)
-            # From now on the reports show whether the run had started after all.
-            self._record_started(key)
-        else:
-            self.unanswered_starts.discard(key)
-            if key in self.runs and not (self.has_ended or self.is_fenced):
-                self.not_started.append((key, refusal))
-        self.notify()
-
     def drop_run(self, key):
         """Drop a run that has ended or was freed."""
         self.runs.pop(key, None)
