--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -4,6 +4,8 @@
 for the client in ``azurelanding.platform.workers``.
 """
 
+import contextlib
+
 import anyio
 import attrs
 
@@ -26,8 +28,11 @@
     """The run time and the injected faults of a worker; times are in seconds.
 
     A ``silent`` worker ignores every call. ``lose_replies`` is the number of orders
-    still to be carried out without a response. Starts take ``start_delay`` longer.
-    ``fail_all`` fails every run. With ``stalled``, runs make no progress and don't end.
+    still to be carried out without a response, ``late_starts`` the number of starts
+    still to be delayed until ``WorkerModel.release``, without a response either. Other
+    starts take ``start_delay`` longer. With ``ignore_stops``, stops are neither carried
+    out nor answered. ``fail_all`` fails every run. With ``stalled``, runs make no
+    progress and don't end.
     ``tail_latency_ms`` is the high percentile of response times, in milliseconds, that
     the worker reports for its runs while none is throttled; it is multiplied by the
     lowest share in ``paces``. ``refuse`` refuses every call for that reason.
@@ -37,6 +42,8 @@
     silent: bool = False
     lose_replies: int = 0
     start_delay: float = 0.0
+    late_starts: int = 0
+    ignore_stops: bool = False
     fail_all: bool = False
     stalled: bool = False
     tail_latency_ms: float = 0.0
@@ -69,6 +76,7 @@
         self.fence = 0
         self.running = {}
         self.paces = {}
+        self.delayed_starts = []
         self.stopped = set()
         self.ends = []
         self.last_end_number = 0
@@ -146,6 +154,15 @@
         self.running[key] = boot_time() + run_time
         self.changes.notify()
 
+    def release(self):
+        """Carry out the delayed starts, or refuse them if no lease covers them."""
+        self.advance()
+        delayed, self.delayed_starts = self.delayed_starts, []
+        for order, lease_end, long_running in delayed:
+            if boot_time() < max(self.lease_end, lease_end):
+                with contextlib.suppress(WorkerRefusedError):
+                    self.start(order, lease_end, long_running)
+
     def stop(self, task, run):
         """Stop a run, or refuse its start if that comes later."""
         self.stopped.add((task, run))
@@ -235,12 +252,19 @@
         """Start a run."""
         await anyio.sleep(self.fleet.models[self.worker.id].knobs.start_delay)
         model = await self._begin_call()
-        model.start(order, lease_end, order.task.job in self.fleet.long_running)
+        long_running = order.task.job in self.fleet.long_running
+        if model.knobs.late_starts:
+            model.knobs.late_starts -= 1
+            model.delayed_starts.append((order, lease_end, long_running))
+            raise WorkerNoResponseError("no response from the worker", True)
+        model.start(order, lease_end, long_running)
         self._raise_if_answer_lost(model)
 
     async def stop(self, task, run):
         """Stop a run."""
         model = await self._begin_call()
+        if model.knobs.ignore_stops:
+            raise WorkerNoResponseError("no response from the worker", True)
         model.stop(task, run)
         self._raise_if_answer_lost(model)
 
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -21,6 +21,7 @@
     make_step,
     until,
 )
+from azurelanding.utils import boot_time
 
 QUEUE = make_queue()
 
@@ -175,6 +176,31 @@
 
         self.run_site(scenario)
 
+    def test_start_carried_out_late_does_not_run_beside_its_second_run(self):
+        job = make_job(steps=(make_step(1, long_running=True),))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            models = list(world.fleet.models.values())
+            for model in models:
+                model.knobs.late_starts = 100
+            await submit(world, job)
+            await until(lambda: any(model.delayed_starts for model in models))
+            models.sort(key=lambda model: bool(model.delayed_starts))
+            other_worker, late_worker = models
+            other_worker.knobs.late_starts = 0
+            late_worker.knobs.silent = True
+            await until(lambda: other_worker.started)
+            late_worker.knobs.silent, late_worker.knobs.ignore_stops = False, True
+            await anyio.sleep(0.8)
+            late_worker.release()
+            self.assertEqual([], late_worker.started)
+            late_worker.knobs.ignore_stops = False
+            await until(lambda: late_worker.lease_end > boot_time())
+
+        world = self.run_site(scenario, lease=2.0)
+        self.assertEqual([1], list(count_starts(world, job).values()))
+
     def test_stalled_run_is_restarted_elsewhere(self):
         job = make_job(steps=(make_step(1, estimate=0.05),))
 
