Give an append the time that it takes on the host's link

What callers would see: submissions that end with 504, and a pool whose controller stores nothing, after the store was down for a while, from a host with a thin link.

Cause: appends that queue up are sent together, up to 500 KB, and each had 1.2 s. An append that ran out of time was sent again, whole, on a new connection, while the rest of the first was still under way.

Evidence: the test appends 400 KB at 250 KB/s; with the code before it failed with `StoreNoResponseError`.

The timeout now grows with the length of the append, for a link that four of them share. Short appends keep theirs, so a silent connection is found as early as before.

--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -39,6 +39,8 @@
 """Longest page of newest records: 1 MB of values in base64."""
 LOADS_AT_ONCE = 4
 """Number of pages that share the host's link while a daemon starts."""
+APPENDS_AT_ONCE = 4
+"""Number of long appends that share the host's link after the store was down."""
 PLATFORM_TOPICS = {
     "operator": "keyed.op",
     "workers": "keyed.servers",
@@ -102,10 +104,13 @@
 
     ``max_kilobytes`` limits the answer to one read, and ``page_timeout`` is the timeout
     in seconds of one page of newest records, whose length the store chooses.
+    ``append_rate`` is the rate in bytes per second at which an append crosses the
+    link, or ``None``.
     """
 
-    def __init__(self, connection, max_kilobytes, page_timeout):
+    def __init__(self, connection, max_kilobytes, page_timeout, append_rate=None):
         self.connection = connection
+        self.append_rate = append_rate
         self.max_kilobytes = max_kilobytes
         self.page_timeout = page_timeout
 
@@ -118,12 +123,14 @@
         the start, and never arrive.
         """
         max_kilobytes, page_timeout = MAX_READ_KILOBYTES, CALL_TIMEOUT_SECONDS
+        append_rate = None
         if link_rate is not None:
+            append_rate = link_rate / APPENDS_AT_ONCE
             kilobytes = int(link_rate * READ_SECONDS / BYTES_PER_KILOBYTE)
             max_kilobytes = min(max(kilobytes, MIN_READ_KILOBYTES), max_kilobytes)
             page_timeout += LOADS_AT_ONCE * NEWEST_PAGE_BYTES / link_rate
         connection = HttpClient(settings.address, CALL_TIMEOUT_SECONDS)
-        return cls(connection, max_kilobytes, page_timeout)
+        return cls(connection, max_kilobytes, page_timeout, append_rate)
 
     async def _call(self, method, name, query, body=b"", timeout=CALL_TIMEOUT_SECONDS):
         target = (
@@ -153,7 +160,10 @@
             "sequence": sequence,
         }
         body = b"".join(encode_keyed_record(key, value) for key, value in records)
-        status, content = await self._call("POST", "log-append", query, body)
+        timeout = CALL_TIMEOUT_SECONDS
+        if self.append_rate is not None:
+            timeout += len(body) / self.append_rate
+        status, content = await self._call("POST", "log-append", query, body, timeout)
         if status == http.HTTPStatus.OK:
             answer = _decode_json(content, "log-append")
             return answer.get("offset", answer.get("end"))
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -99,6 +99,26 @@
 
         serve(app, scenario)
 
+    def test_long_append_is_answered_over_a_thin_link(self):
+        # Appends that took longer than their timeout were sent again and again.
+        model, producer, link_rate = StoreModel(), Producer("p", 1), 250_000.0
+        rows = [(f"job/{number}", b"x" * 4_000) for number in range(100)]
+
+        async def app(scope, receive, send):
+            async def receive_slowly():
+                message = await receive()
+                await anyio.sleep(len(message.get("body", b"")) / link_rate)
+                return message
+
+            await model.app(scope, receive_slowly, send)
+
+        async def scenario(address):
+            client = StoreClient.from_config(StoreSettings(address), link_rate)
+            self.assertEqual(0, await client.append("jobs", 1, rows, producer, 1))
+            await client.close()
+
+        serve(app, scenario)
+
 
 class FakeService:
     """Job service that returns preset results."""
