Take control of a pool under an epoch that is new each time

What callers could see: jobs that never end, and tasks that run twice.

Cause: a controller that failed, or whose pool left the configuration and came back, was followed by one of the same daemon under the same assignment, and so under the same epoch, with sequence numbers from the start. The store answers such an append as it answered the earlier one and stores nothing, while the controller acts on it.

Evidence: on the stand-in, which keeps the last five appends as the store does, the end of a job after the failure of its controller was shown and not stored; the test was seen failing with equal epochs.

An assignment's generation now leaves room for 1,000 epochs, and each controller of a pool has a higher one than those before it on this daemon. A later generation is still higher than all of them, so other daemons, workers and the store order them as before.

--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -41,6 +41,8 @@
 FLEET_INTERVAL_SECONDS = 0.15
 """Interval between reads of a stream by the daemon that runs the fleet controller,
 which computes the demand from it; well below the time that moving a host takes."""
+CONTROLS_PER_ASSIGNMENT = 1000
+"""How often a daemon can take control of a pool under one assignment of the store."""
 MAX_READY_AGE_SECONDS = 2.5
 """Maximum age of the store's last answer for the daemon to count as ready."""
 
@@ -86,6 +88,7 @@
         self.streams = {}
         self.controllers = {}
         self.scopes = {}
+        self.last_epochs = {}
         self.is_stopping = False
         self.task_group = None
         self.make_worker_client = service_clients.make_worker_client
@@ -256,17 +259,30 @@
                 assigned[pool] = epoch
         return assigned
 
+    def _next_epoch(self, pool, assignment):
+        """Return a new epoch for a pool under an ``assignment``, a generation.
+
+        The store takes an append under an epoch and a sequence number that it has seen
+        for a repeated one, and stores nothing.
+        """
+        first = assignment * CONTROLS_PER_ASSIGNMENT
+        epoch = max(first, self.last_epochs.get(pool, 0) + 1)
+        self.last_epochs[pool] = epoch
+        return epoch
+
     def _match_controllers(self):
         """Start and stop controllers so that they match the assigned partitions."""
         assigned = self._assigned_pools()
         for pool, controller in list(self.controllers.items()):
-            if assigned.get(pool) != controller.epoch:
+            assignment = controller.epoch // CONTROLS_PER_ASSIGNMENT
+            if assigned.get(pool) != assignment:
                 controller.end_control()
                 self.controllers.pop(pool)
                 self.scopes.pop(pool).cancel()
-        for pool, epoch in assigned.items():
+        for pool, assignment in assigned.items():
             if pool not in self.controllers:
                 stream = self.stream_of(pool)
+                epoch = self._next_epoch(pool, assignment)
                 controller = PoolController(pool, epoch, stream, self)
                 scope = anyio.CancelScope()
                 self.controllers[pool], self.scopes[pool] = controller, scope
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -406,6 +406,25 @@
 
         self.run_site(scenario)
 
+    def test_decisions_are_stored_after_a_controller_failed(self):
+        # Its successor repeated an epoch and sequence, so nothing of it was stored.
+        first, second = make_job(), make_job("1" * 16)
+
+        async def scenario(world):
+            daemon = world.daemons[0]
+            await submit(world, first)
+            await until_phase(world, first, JobPhase.COMPLETED)
+            failing = daemon.controllers["cuts"]
+            failing.worker_failures = None
+            await submit(world, second)
+            await until_phase(world, second, JobPhase.COMPLETED)
+            self.assertGreater(daemon.controllers["cuts"].epoch, failing.epoch)
+            stored = world.store.partitions["jobs", daemon.stream_of("cuts").partition]
+            keys = {record.key for record in stored.records}
+            self.assertIn(f"end/{second.id}", keys)
+
+        self.run_site(scenario)
+
     def test_phase_of_an_unknown_job_is_none(self):
         async def scenario(world):
             await until(lambda: world.daemons[0].controllers)
