Read a record that is longer than what a thin link asks for

What callers could see: states of jobs that stay as they were on daemons with thin links.

Cause: reads on a thin link ask for 64 KB or more, and a record may have 256 KB. The store's pages don't say that a read returns at least one record, so a follower could ask for the same offset forever.

A read without records before the end of the partition is now repeated with the store's default limit. The new test was seen failing before, with no record read.

--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -185,11 +185,18 @@
         When there are none yet, the store waits up to ``wait`` seconds for one. Raises
         ``OffsetOutOfRangeError`` when the store has deleted the record at ``start``.
         """
+        found = await self._read(topic, partition, start, wait, self.max_kilobytes)
+        if not found.records and found.end > start:
+            # The next record alone may be longer than what was asked for.
+            found = await self._read(topic, partition, start, 0.0, MAX_READ_KILOBYTES)
+        return found
+
+    async def _read(self, topic, partition, start, wait, max_kilobytes):
         query = {
             "topic": wire_topic(topic),
             "part": partition,
             "from": start,
-            "maxKb": self.max_kilobytes,
+            "maxKb": max_kilobytes,
             "waitMs": int(wait * 1000),
         }
         timeout = CALL_TIMEOUT_SECONDS + wait
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -1,11 +1,13 @@
 """Tests of the store client and the callers' API over real sockets, on a stand-in."""
 
+import struct
+
 import anyio
 import msgspec
 import testtools
 
 from azurelanding.http_client import HttpClient
-from azurelanding.http_server import HttpServer
+from azurelanding.http_server import HttpServer, send_reply
 from azurelanding.job_service import Acceptance, StateUnknownError
 from azurelanding.jobs import JobPhase
 from azurelanding.platform import callers
@@ -119,6 +121,23 @@
 
         serve(app, scenario)
 
+    def test_record_longer_than_the_limit_of_a_read_is_read(self):
+        # A follower on a thin link would never get past it.
+        async def app(scope, receive, send):
+            content = struct.pack(">QQ", 1, 0)
+            if b"maxKb=1024" in scope["query_string"]:
+                record = b"\1a" + b"x" * 200_000
+                content += struct.pack(">I", len(record)) + record
+            await send_reply(send, 200, (), content)
+
+        async def scenario(address):
+            client = StoreClient.from_config(StoreSettings(address), 625_000.0)
+            found = await client.read("jobs", 1, 0)
+            self.assertEqual(["a"], [record.key for record in found.records])
+            await client.close()
+
+        serve(app, scenario)
+
 
 class FakeService:
     """Job service that returns preset results."""
