--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -137,7 +137,10 @@
         return boot_time() < self.valid_until
 
     def drop_holding(self, topic, partition):
-        """Drop a lost or fenced holding, which can return only under a new epoch."""
+        """Drop a lost or fenced holding; the next join may bring it back.
+
+        Its generation may be the same then, so its holder adds to it for a new epoch.
+        """
         if self.holdings.pop((topic, partition), None) is not None:
             self.changes.notify()
 
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -38,7 +38,7 @@
 NEWEST_PAGE_BYTES = 1_400_000
 """Longest page of newest records: 1 MB of values in base64."""
 LOADS_AT_ONCE = 4
-"""Number of pages that share the host's link while a daemon starts."""
+"""Number of pages assumed to share the host's link while a daemon loads its streams."""
 APPENDS_AT_ONCE = 4
 """Number of long appends that share the host's link after the store was down."""
 PLATFORM_TOPICS = {
