Keep the unanswered starts of a worker whose entry goes missing

Callers could see a task run twice.

A worker with an expired entry and no placed runs loses its link. The link also held the starts that the worker may still carry out and the stops queued for them. When the same incarnation registered again, its new link knew of neither and extended the lease, so that a late start was accepted beside the second run of its task.

PoolLinks now keeps the unanswered starts of a dropped link. The next link to the same incarnation sends their stops first and extends no lease until they are answered. They are forgotten once a later incarnation has registered on the host. A dropped link leaves only the few starts that were unanswered, so this stays small with many workers.

Test: test_late_start_on_a_worker_that_was_removed_meanwhile_runs_nothing_twice. Before the change the late worker carried out run 1 ([] != [(TaskId(...), 1)]).

--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -19,6 +19,8 @@
 
     ``registered`` maps the workers that are registered for the pool to their entries,
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
+    ``late_starts`` maps the workers whose link was dropped while it had unanswered
+    starts to these and to ``born`` of the incarnation that may still carry them out.
     ``wake`` is called when a link has new reports or refusals to process, and
     ``count_repeat(order)`` before a start is sent again.
     """
@@ -33,6 +35,7 @@
         self.watch = LinkWatch(pool, daemon.metrics)
         self.links = {}
         self.scopes = {}
+        self.late_starts = {}
         self.registered = {}
 
     def is_fenced(self):
@@ -60,6 +63,9 @@
             is_needed = worker_id in self.registered or worker_id in self.ledger.placed
             if not is_needed:
                 self._drop(worker_id)
+        for worker_id in list(self.late_starts):
+            if self.daemon.registry.has_later_incarnation(worker_id):
+                del self.late_starts[worker_id]
 
     def _add(self, entry, task_group):
         link = WorkerLink(
@@ -74,6 +80,9 @@
         )
         for key in self.ledger.placed.get(entry.id, ()):
             link.adopt_run(key)
+        starts, born = self.late_starts.pop(entry.id, ((), entry.born))
+        if entry.born <= born:
+            link.expect_late_starts(starts)
         scope = anyio.CancelScope()
         self.links[entry.id], self.scopes[entry.id] = link, scope
         task_group.start_soon(self._serve, link, scope)
@@ -121,7 +130,9 @@
             await link.close()
 
     def _drop(self, worker_id):
-        self.links.pop(worker_id)
+        link = self.links.pop(worker_id)
+        if link.unanswered_starts and not link.has_ended:
+            self.late_starts[worker_id] = (link.unanswered_starts, link.born)
         self.scopes.pop(worker_id).cancel()
 
     def close(self):
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -176,7 +176,11 @@
 
         self.run_site(scenario)
 
-    def test_start_carried_out_late_does_not_run_beside_its_second_run(self):
+    def start_late(self, is_removed):
+        """Carry out a start after its run was freed and its worker answers again.
+
+        With ``is_removed``, the worker's entry is missing meanwhile.
+        """
         job = make_job(steps=(make_step(1, long_running=True),))
 
         async def scenario(world):
@@ -190,7 +194,13 @@
             other_worker, late_worker = models
             other_worker.knobs.late_starts = 0
             late_worker.knobs.silent = True
+            if is_removed:
+                world.store.put("workers", late_worker.name, None)
             await until(lambda: other_worker.started)
+            if is_removed:
+                (controller,) = world.daemons[0].controllers.values()
+                await until(lambda: late_worker.name not in controller.links)
+                world.store.put("workers", late_worker.name, b"entry")
             late_worker.knobs.silent, late_worker.knobs.ignore_stops = False, True
             await anyio.sleep(0.8)
             late_worker.release()
@@ -201,6 +211,12 @@
         world = self.run_site(scenario, lease=2.0)
         self.assertEqual([1], list(count_starts(world, job).values()))
 
+    def test_start_carried_out_late_does_not_run_beside_its_second_run(self):
+        self.start_late(is_removed=False)
+
+    def test_late_start_on_a_worker_that_was_removed_meanwhile_runs_nothing_twice(self):
+        self.start_late(is_removed=True)
+
     def test_stalled_run_is_restarted_elsewhere(self):
         job = make_job(steps=(make_step(1, estimate=0.05),))
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -410,6 +410,15 @@
         self.orders.appendleft(StopOrder(task, run))
         self.order_added.notify()
 
+    def expect_late_starts(self, keys):
+        """Stop runs that an earlier link may have started and that were freed since.
+
+        Until that is answered, no call of this link extends the lease either.
+        """
+        self.unanswered_starts.update(keys)
+        for task, run in keys:
+            self.stop_before_others(task, run)
+
     def record_started(self, key):
         """Let the reports show from now on whether a run is lost.
 
