Stop a listed run of a restarted worker before it counts as lost

Callers could see a task run twice.

An unanswered start is not repeated once a report lists its run; that counted as its answer. The report may be of an incarnation that has ended since, while a repeat of the start reached the later one under the same id and is still to be carried out there. The next report did not list the run, which was freed as lost while the lease went on being extended, so that the late start could run beside the second run.

Such a start now stays unanswered until a report that was requested later lists its run. If that report doesn't list it, the run is stopped first, and counts as lost only by a report requested after the stop was answered. A later report settles it in the usual case, so nothing is repeated and no call is added.

Test: test_restarted_worker_stops_a_listed_run_before_it_counts_as_lost. Before the change the run was lost by the first report of the later incarnation.

--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -13,6 +13,7 @@
     ListedRun,
     Refusal,
     StartOrder,
+    StopOrder,
     WorkerNoResponseError,
     WorkerRefusedError,
     WorkerReport,
@@ -142,6 +143,17 @@
         self.assertIsNotNone(link.runs[KEY])
         self.assertIsNotNone(link.lease_end())
 
+    def test_restarted_worker_stops_a_listed_run_before_it_counts_as_lost(self):
+        # The list is of the earlier incarnation, a late start of the later one.
+        client = ScriptedClient(unanswered())
+        link = self.start(client, is_listed=True)
+        link._apply_report(WorkerReport(1.0, 2, (), ()), boot_time())
+        self.assertEqual([], link.lost_runs)
+        self.assertEqual(StopOrder(*KEY), link.orders.popleft())
+        anyio.run(worker_orders.stop, link, client, *KEY)
+        link._apply_report(WorkerReport(2.0, 2, (), ()), boot_time())
+        self.assertEqual([KEY], link.lost_runs)
+
     def test_refusal_as_fenced_marks_the_link_fenced(self):
         link = self.start(ScriptedClient(refused(Refusal.FENCED)))
         self.assertTrue(link.is_fenced)
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -64,7 +64,7 @@
       a report that doesn't list it shows that it is lost; ``None`` while its start is
       unanswered.
     - ``unanswered_starts`` are the runs whose start was sent and that the worker may
-      still start: no answer, stop or end has shown otherwise.
+      still start: no answer, stop, end or later report has shown otherwise.
     - ``start_times`` maps the runs whose start is unanswered to the ``boot_time`` at
       which it was queued, and may still hold others.
     - ``listed_runs`` are the runs in progress in the last report, ``working_since`` the
@@ -343,13 +343,27 @@
             self.record_no_later_start(*key)
         self.ends.update((end.number, end) for end in new_ends)
         for key, counted_from in list(self.runs.items()):
-            is_counted = counted_from is not None and counted_from < sent_at
-            if is_counted and key not in self.listed_runs and key not in ended:
-                self.lost_runs.append(key)
+            if counted_from is None or counted_from >= sent_at:
+                continue
+            if key in self.listed_runs:
+                self.unanswered_starts.discard(key)
+            elif key not in ended:
+                self._record_unlisted(key)
         had_answered, self.has_answered = self.has_answered, True
         if new_ends or self.lost_runs or not had_answered:
             self.notify()
 
+    def _record_unlisted(self, key):
+        """Record a run as lost, once the worker can't start it any more.
+
+        A worker that restarted since it listed the run may still carry out a start.
+        """
+        if key not in self.unanswered_starts:
+            self.lost_runs.append(key)
+        elif key not in self.stops:
+            self.stops[key] = boot_time()
+            self.stop_before_others(*key)
+
     def record_no_later_start(self, task, run):
         """Record that the worker will not start ``run`` of a task or an earlier one."""
         self.unanswered_starts = {
@@ -420,14 +434,24 @@
             self.stop_before_others(task, run)
 
     def record_started(self, key):
+        """Record that the start of a run was answered."""
+        self.unanswered_starts.discard(key)
+        self.await_reports(key)
+
+    def await_reports(self, key):
         """Let the reports show from now on whether a run is lost.
 
         Its end may already be recorded, if a report came before the answer.
         """
-        self.unanswered_starts.discard(key)
         if key in self.runs:
             self.runs[key] = boot_time()
 
+    def record_stopped(self, task, run):
+        """Record that the stop of a run was answered; it can't start any more."""
+        self.record_no_later_start(task, run)
+        if self.runs.get((task, run)) is not None:
+            self.await_reports((task, run))
+
     def drop_run(self, key):
         """Drop a run that has ended or was freed."""
         self.runs.pop(key, None)
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -82,7 +82,7 @@
     while not (link.has_ended or link.is_fenced):
         refusal = await _call_until_answered(link, "stop", client.stop, task, run)
         if refusal is None or refusal.reason is not Refusal.UNHEALTHY:
-            link.record_no_later_start(task, run)
+            link.record_stopped(task, run)
             return
         await anyio.sleep(RETRY_DELAY_SECONDS)
 
@@ -115,7 +115,7 @@
     while (end := await _lease_end_of(link, order, may_have_started)) is not None:
         if key in link.listed_runs:
             # Its answer was lost or is still under way.
-            link.record_started(key)
+            link.await_reports(key)
             return
         attempt += 1
         log_late_start(link, order, taken_at, attempt)
