Continue a load of a stream after a lost page

A load of several pages began again from its first page when any page was lost.

Cause: StoreClient.newest read all pages in one call and threw away those that had arrived. At ten times the records a load has ten times the pages, so each load is that much more likely to lose one.

The client now reads one page for each call. The follower keeps a load that lost a page and continues it after the last key that arrived. The records that were applied since the load began are kept with it until it is complete, so what changed meanwhile in the pages that were read before is applied on top, as it was within one load. A load without any page is not kept, as its age would count against readiness.

test_load_continues_after_a_lost_page (every second page refused) was seen failing before the change: no state after 3 s, as the second page was always lost.

--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -217,32 +217,33 @@
         except (struct.error, IndexError) as error:
             raise StoreNoResponseError(f"log-read: {error}") from error
 
-    async def newest(self, topic, partition):
-        """Return the newest record of each key, and the end offset at the first page.
+    async def newest(self, topic, partition, after=None):
+        """Return one page of the newest record of each key, in the order of the keys.
 
-        The pages are read at different times, so they are not a consistent snapshot:
-        continue to read from the returned end.
+        ``after`` is the last key of the page before. The pages are read at different
+        times, so they are not a consistent snapshot: continue to read from the end that
+        was returned with the first one.
         """
-        records, end, after = [], None, None
-        while True:
-            query = {"topic": wire_topic(topic), "part": partition}
-            if after is not None:
-                query["after"] = after
-            status, content = await self._call(
-                "GET", "log-newest", query, timeout=self.page_timeout
+        query = {"topic": wire_topic(topic), "part": partition}
+        if after is not None:
+            query["after"] = after
+        status, content = await self._call(
+            "GET", "log-newest", query, timeout=self.page_timeout
+        )
+        if status == http.HTTPStatus.NOT_FOUND:
+            return ReadRecords((), 0)
+        if status != http.HTTPStatus.OK:
+            raise StoreRefusedError(f"log-newest refused with status {status}")
+        page = _decode_json(content, "log-newest")
+        records = tuple(
+            StoredRecord(
+                item["key"],
+                base64.b64decode(item.get("value") or ""),
+                item["offset"],
             )
-            if status == http.HTTPStatus.NOT_FOUND:
-                return ReadRecords((), 0)
-            if status != http.HTTPStatus.OK:
-                raise StoreRefusedError(f"log-newest refused with status {status}")
-            page = _decode_json(content, "log-newest")
-            end = page["end"] if end is None else end
-            for item in page["items"]:
-                value = base64.b64decode(item.get("value") or "")
-                records.append(StoredRecord(item["key"], value, item["offset"]))
-                after = item["key"]
-            if not page.get("hasMore"):
-                return ReadRecords(tuple(records), end)
+            for item in page["items"]
+        )
+        return ReadRecords(records, page["end"], bool(page.get("hasMore")))
 
     async def join(self, group, member, topics, generation, member_timeout):
         """Join a group or renew the membership; return the ``Membership``.
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -128,6 +128,12 @@
         self.changes.notify()
         return offset
 
+    def page(self, after):
+        """Return the page of the newest records whose keys are after ``after``."""
+        keys = sorted(key for key in self.newest if key > after)
+        records = tuple(self.newest[key] for key in keys[:PAGE_RECORDS])
+        return ReadRecords(records, self.end, len(keys) > PAGE_RECORDS)
+
     def compact(self):
         """Drop all records from the log; the newest of each key stay in ``newest``."""
         self.first, self.records = self.end, []
@@ -299,18 +305,16 @@
         await http_server.send_reply(send, http.HTTPStatus.OK, (), b"".join(chunks))
 
     async def _serve_newest(self, values, send):
-        partition = self._partition(values)
-        keys = sorted(key for key in partition.newest if key > values.get("after", ""))
+        page = self._partition(values).page(values.get("after", ""))
         items = [
             {
-                "key": key,
-                "value": base64.b64encode(partition.newest[key].value).decode(),
-                "offset": partition.newest[key].offset,
+                "key": record.key,
+                "value": base64.b64encode(record.value).decode(),
+                "offset": record.offset,
             }
-            for key in keys[:PAGE_RECORDS]
+            for record in page.records
         ]
-        answer = {"items": items, "end": partition.end}
-        answer["hasMore"] = len(keys) > PAGE_RECORDS
+        answer = {"items": items, "end": page.end, "hasMore": page.has_more}
         await knobs_module.send_json(send, http.HTTPStatus.OK, answer)
 
     async def _serve_join(self, values, send):
@@ -367,11 +371,10 @@
             )
         return ReadRecords(tuple(source.records[start - source.first :]), source.end)
 
-    async def newest(self, topic, partition):
+    async def newest(self, topic, partition, after=None):
         """Return the newest records as ``StoreClient.newest`` does."""
         await self._check_reachable()
-        source = self.model.partitions[topic, partition]
-        return ReadRecords(tuple(source.newest.values()), source.end)
+        return self.model.partitions[topic, partition].page(after or "")
 
     async def join(self, group, member, topics, generation, member_timeout):
         """Join as ``StoreClient.join`` does."""
--- a/azurelanding/store.py
+++ b/azurelanding/store.py
@@ -58,10 +58,14 @@
 
 @attrs.frozen
 class ReadRecords:
-    """The result of one read; ``end`` is the offset of the next append."""
+    """The result of one read; ``end`` is the offset of the next append.
+
+    ``has_more`` says whether more pages of newest records follow.
+    """
 
     records: tuple[StoredRecord, ...]
     end: int
+    has_more: bool = False
 
 
 @attrs.frozen
--- a/azurelanding/tests/test_topic_follower.py
+++ b/azurelanding/tests/test_topic_follower.py
@@ -3,13 +3,17 @@
 import anyio
 import testtools
 
+from azurelanding.http_server import send_reply
 from azurelanding.job_records import encode_record
 from azurelanding.jobs import TaskId, TaskState
 from azurelanding.ledger import JobSubmitted, TaskChanged
+from azurelanding.platform.store import StoreClient
 from azurelanding.pool_stream import TOPIC, PoolStream
-from azurelanding.standins.platform_store import StoreModel
+from azurelanding.site import StoreSettings
+from azurelanding.standins.platform_store import PAGE_RECORDS, StoreModel
 from azurelanding.store import Producer, ReadRecords
 from azurelanding.tests.platform_world import make_job
+from azurelanding.tests.test_platform_calls import serve
 from azurelanding.topic_follower import TopicFollower
 
 
@@ -157,3 +161,37 @@
         ledger = anyio.run(main)
         self.assertEqual({1: "w"}, ledger.active[job.id].task(task).active)
         self.assertEqual({(task, 1): None}, ledger.placed["w"])
+
+
+class LostPageTest(testtools.TestCase):
+    """Loads of several pages, some of which are lost or read late."""
+
+    def test_load_continues_after_a_lost_page(self):
+        # It started again from the first page, and never ended.
+        model, fold, calls = StoreModel(1), ListFold(), []
+        rows = [(f"{number:04}", b"1") for number in range(2 * PAGE_RECORDS + 1)]
+        model.partitions["keyed.jobs", 0].append(rows, Producer("p", 1), 1)
+
+        async def app(scope, receive, send):
+            if scope["path"].endswith("log-newest"):
+                calls.append(scope["query_string"])
+                if len(calls) % 2 == 0:
+                    await send_reply(send, 503, (), b"")
+                    return
+            await model.app(scope, receive, send)
+
+        async def scenario(address):
+            def make_client():
+                return StoreClient.from_config(StoreSettings(address))
+
+            follower = TopicFollower("jobs", 0, make_client, fold, lambda: 0.6, 1.0)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(follower.run)
+                with anyio.fail_after(3.0):
+                    await follower.changes.wait()
+                task_group.cancel_scope.cancel()
+            await follower.close()
+
+        serve(app, scenario)
+        self.assertEqual([key for key, _ in rows], fold.keys)
+        self.assertEqual(5, len(calls))
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -1,6 +1,7 @@
 """Follow one partition of a compacted topic of the store."""
 
 import anyio
+import attrs
 import structlog
 
 from azurelanding.store import OffsetOutOfRangeError, StoreError
@@ -14,6 +15,31 @@
 """Delay after a failed read, so that a store that is down is not overloaded."""
 
 
+@attrs.define(eq=False)
+class Load:
+    """The newest record of each key, as far as its pages have been read.
+
+    ``end`` is the end of the partition when the first page was read, ``last_key`` the
+    key to continue after. ``applied`` holds the records that the follower applied since
+    the load began.
+    """
+
+    number: int
+    started_at: float
+    records: list = attrs.field(factory=list)
+    applied: list = attrs.field(factory=list)
+    end: int | None = None
+    last_key: str | None = None
+    is_complete: bool = False
+
+    def add(self, page):
+        """Add the next page."""
+        self.records.extend(page.records)
+        self.end = page.end if self.end is None else self.end
+        self.last_key = page.records[-1].key if page.records else self.last_key
+        self.is_complete = not page.has_more
+
+
 class TopicFollower:
     """Applies the records of a partition to a fold, in the order of their offsets.
 
@@ -22,8 +48,8 @@
     ``read_delay()`` returns the seconds between two reads, and ``max_wait`` is the
     longest time in seconds that the store waits for a record before it responds.
     ``caught_up_at`` is when the last read began that reached the end of the partition.
-    ``applied_during_load`` holds, by the number of each load under way, the records
-    that were applied since it began.
+    ``loads`` holds the loads under way; ``paused_load`` is one of them that has lost a
+    page, and which the next attempt continues.
     """
 
     def __init__(self, topic, partition, make_client, fold, read_delay, max_wait):
@@ -40,7 +66,8 @@
         self.refresh_lock = anyio.Lock()
         self.load_count = 0
         self.newest_load = 0
-        self.applied_during_load = {}
+        self.loads = []
+        self.paused_load = None
         self.changes = Notifier()
 
     @property
@@ -52,10 +79,29 @@
         """Apply records that were read, or that this daemon has just stored."""
         for record in records:
             self.fold.apply_stored(record)
-        for applied in self.applied_during_load.values():
-            applied.extend(records)
+        for load in self.loads:
+            load.applied.extend(records)
         self.changes.notify()
 
+    def _begin_or_continue_load(self):
+        load, self.paused_load = self.paused_load, None
+        if load is None:
+            self.load_count += 1
+            load = Load(self.load_count, anyio.current_time())
+            self.loads.append(load)
+        return load
+
+    async def _read_pages(self, load, client):
+        """Read the remaining pages of ``load``, which is paused if one is lost."""
+        try:
+            while not load.is_complete:
+                load.add(await client.newest(self.topic, self.partition, load.last_key))
+        finally:
+            if load.is_complete or load.end is None or self.paused_load is not None:
+                self.loads.remove(load)
+            else:
+                self.paused_load = load
+
     async def _load(self, client):
         """Replace the state by the newest record of each key.
 
@@ -63,32 +109,29 @@
         newer than what was loaded, so they are applied again on top. They include all
         from the end that the load began at, so ``next_offset`` never moves back.
         """
-        started_at = anyio.current_time()
-        self.load_count += 1
-        number = self.load_count
-        applied = self.applied_during_load[number] = []
-        try:
-            newest = await client.newest(self.topic, self.partition)
-        finally:
-            del self.applied_during_load[number]
-        if number < self.newest_load:
+        load = self._begin_or_continue_load()
+        await self._read_pages(load, client)
+        if load.number < self.newest_load:
             # The state is that of a load which began later.
             return
-        self.newest_load = number
+        self.newest_load = load.number
+        if self.paused_load is not None:
+            self.loads.remove(self.paused_load)
+            self.paused_load = None
         self.fold.clear()
-        for record in sorted(newest.records, key=self.fold.load_order):
+        for record in sorted(load.records, key=self.fold.load_order):
             self.fold.apply_stored(record)
-        self.next_offset = max(newest.end, self.next_offset or 0)
-        self.caught_up_at = max(self.caught_up_at, started_at)
+        self.next_offset = max(load.end, self.next_offset or 0)
+        self.caught_up_at = max(self.caught_up_at, load.started_at)
         logger.info(
             "topic loaded",
             topic=self.topic,
             partition=self.partition,
-            records=len(newest.records),
-            next_offset=newest.end,
-            seconds=round(anyio.current_time() - started_at, 3),
+            records=len(load.records),
+            next_offset=load.end,
+            seconds=round(anyio.current_time() - load.started_at, 3),
         )
-        self.apply(applied)
+        self.apply(load.applied)
 
     async def _read(self, client, max_wait):
         started_at = anyio.current_time()
