Read what is stored during a load between its pages

Found by reading.

After each page the follower now reads on from the end that the first page named, so that part of the history is read before it is dropped. These records had to be read after the load anyway, so no more bytes cross the link; a load of one page reads no more than before. They are applied on top of the pages, in the order of their offsets, together with what the daemon applied itself. If a paused load has missed a part of the history, it is given up.

With that a complete load is the state of the partition at one moment, where before it could show a job whose end, tasks and own record were read at different times.

test_load_that_outlasts_the_history_ends was seen failing before the change: four pages read for two reads of a stream that has two.

--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -136,7 +136,12 @@
 
     def compact(self):
         """Drop all records from the log; the newest of each key stay in ``newest``."""
-        self.first, self.records = self.end, []
+        self.trim(0)
+
+    def trim(self, count):
+        """Drop all but the last ``count`` records from the log."""
+        kept = self.records[max(0, len(self.records) - count) :]
+        self.first, self.records = self.end - len(kept), kept
         self.changes.notify()
 
 
--- a/azurelanding/tests/test_topic_follower.py
+++ b/azurelanding/tests/test_topic_follower.py
@@ -10,7 +10,7 @@
 from azurelanding.platform.store import StoreClient
 from azurelanding.pool_stream import TOPIC, PoolStream
 from azurelanding.site import StoreSettings
-from azurelanding.standins.platform_store import PAGE_RECORDS, StoreModel
+from azurelanding.standins.platform_store import PAGE_RECORDS, ModelClient, StoreModel
 from azurelanding.store import Producer, ReadRecords
 from azurelanding.tests.platform_world import make_job
 from azurelanding.tests.test_platform_calls import serve
@@ -195,3 +195,33 @@
         serve(app, scenario)
         self.assertEqual([key for key, _ in rows], fold.keys)
         self.assertEqual(5, len(calls))
+
+    def test_load_that_outlasts_the_history_ends(self):
+        # What was stored since it began was no longer kept when it ended, so each read
+        # loaded everything again.
+        async def main():
+            store, fold, producer = StoreModel(1), ListFold(), Producer("p", 1)
+            partition, pages = store.partitions["jobs", 0], []
+            rows = [(f"{number:04}", b"1") for number in range(PAGE_RECORDS + 1)]
+            partition.append(rows, producer, 1)
+
+            class SlowPagesClient(ModelClient):
+                async def newest(self, *arguments):
+                    page = await super().newest(*arguments)
+                    pages.append(page)
+                    rows = [(f"new-{partition.end}", b"1")]
+                    partition.append(rows, producer, 1 + len(pages))
+                    partition.trim(1)
+                    return page
+
+            def make_client():
+                return SlowPagesClient(store)
+
+            follower = TopicFollower("jobs", 0, make_client, fold, lambda: 0.0, 0.0)
+            await follower.refresh()
+            await follower.refresh()
+            return fold.keys, len(pages)
+
+        keys, page_count = anyio.run(main)
+        self.assertEqual(2, page_count)
+        self.assertEqual(PAGE_RECORDS + 3, len(set(keys)))
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -19,25 +19,52 @@
 class Load:
     """The newest record of each key, as far as its pages have been read.
 
-    ``end`` is the end of the partition when the first page was read, ``last_key`` the
-    key to continue after. ``applied`` holds the records that the follower applied since
-    the load began.
+    The pages are read at different times. What was stored since the first one is
+    therefore read after each page and kept in ``changes``, with the records that the
+    follower applied meanwhile. ``next_offset`` is where that reading continues,
+    ``last_key`` the key after which the next page begins. Once it is complete, the load
+    holds the state of the partition at a time after ``caught_up_at``.
     """
 
     number: int
     started_at: float
     records: list = attrs.field(factory=list)
-    applied: list = attrs.field(factory=list)
-    end: int | None = None
+    changes: list = attrs.field(factory=list)
+    next_offset: int | None = None
     last_key: str | None = None
-    is_complete: bool = False
+    has_more: bool = True
+    is_behind: bool = False
+    caught_up_at: float = -1.0
 
-    def add(self, page):
-        """Add the next page."""
+    @property
+    def is_complete(self):
+        """Return whether all pages were read, and all that was stored since."""
+        return not self.has_more and not self.is_behind
+
+    def add_page(self, page, read_at):
+        """Add the next page, whose read began at ``read_at``."""
+        is_first = self.next_offset is None
+        if is_first:
+            self.next_offset = page.end
+        if page.records:
+            self.last_key = page.records[-1].key
         self.records.extend(page.records)
-        self.end = page.end if self.end is None else self.end
-        self.last_key = page.records[-1].key if page.records else self.last_key
-        self.is_complete = not page.has_more
+        self.has_more = page.has_more
+        self.is_behind = page.has_more or not is_first
+        self.caught_up_at = read_at
+
+    def add_changes(self, batch, read_at):
+        """Add records stored since the first page; the read began at ``read_at``."""
+        if batch.records:
+            self.next_offset = batch.records[-1].offset + 1
+        self.changes.extend(batch.records)
+        self.is_behind = self.next_offset < batch.end
+        self.caught_up_at = read_at
+
+    def sorted_changes(self):
+        """Return the changes in the order of their offsets, each once."""
+        changes = {record.offset: record for record in self.changes}
+        return [changes[offset] for offset in sorted(changes)]
 
 
 class TopicFollower:
@@ -80,7 +107,7 @@
         for record in records:
             self.fold.apply_stored(record)
         for load in self.loads:
-            load.applied.extend(records)
+            load.changes.extend(records)
         self.changes.notify()
 
     def _begin_or_continue_load(self):
@@ -92,22 +119,32 @@
         return load
 
     async def _read_pages(self, load, client):
-        """Read the remaining pages of ``load``, which is paused if one is lost."""
+        """Read the rest of ``load``, which is paused if a page is lost."""
+        can_continue = True
         try:
             while not load.is_complete:
-                load.add(await client.newest(self.topic, self.partition, load.last_key))
+                read_at, source = anyio.current_time(), (self.topic, self.partition)
+                if load.is_behind:
+                    batch = await client.read(*source, load.next_offset, 0.0)
+                    load.add_changes(batch, read_at)
+                else:
+                    load.add_page(await client.newest(*source, load.last_key), read_at)
+        except OffsetOutOfRangeError:
+            can_continue = False
+            raise
         finally:
-            if load.is_complete or load.end is None or self.paused_load is not None:
-                self.loads.remove(load)
-            else:
+            is_started = load.next_offset is not None and not load.is_complete
+            if can_continue and is_started and self.paused_load is None:
                 self.paused_load = load
+            else:
+                self.loads.remove(load)
 
     async def _load(self, client):
         """Replace the state by the newest record of each key.
 
-        A load takes long where the link is thin. The records applied meanwhile may be
-        newer than what was loaded, so they are applied again on top. They include all
-        from the end that the load began at, so ``next_offset`` never moves back.
+        A load takes long where the link is thin. What was stored meanwhile may be newer
+        than the pages that were read before, so it is applied on top. That includes the
+        records applied by this daemon, so ``next_offset`` never moves back.
         """
         load = self._begin_or_continue_load()
         await self._read_pages(load, client)
@@ -121,17 +158,17 @@
         self.fold.clear()
         for record in sorted(load.records, key=self.fold.load_order):
             self.fold.apply_stored(record)
-        self.next_offset = max(load.end, self.next_offset or 0)
-        self.caught_up_at = max(self.caught_up_at, load.started_at)
+        self.next_offset = max(load.next_offset, self.next_offset or 0)
+        self.caught_up_at = max(self.caught_up_at, load.caught_up_at)
         logger.info(
             "topic loaded",
             topic=self.topic,
             partition=self.partition,
             records=len(load.records),
-            next_offset=load.end,
+            next_offset=load.next_offset,
             seconds=round(anyio.current_time() - load.started_at, 3),
         )
-        self.apply(load.applied)
+        self.apply(load.sorted_changes())
 
     async def _read(self, client, max_wait):
         started_at = anyio.current_time()
