Request no start permits for workers that are being asked about

What callers could see: steps of queues with advice started later than they had to, as the calls of other steps and pools waited behind calls for what was known already.

Cause: a pass of the controller while a request for permits is in flight, which is usual, as each report of a worker asks for a pass, put the same workers on the list of those to ask about next. The list was used as soon as the answer was there, before a pass could look at it, so each request was made twice. The advice service serves the calls of a host one after another and takes time for each worker that is named.

Evidence: found by reading; the new test, in which passes look at the step during the request, was seen failing before the change with two calls for the same worker.

A step now wants no permits while a request for it is in flight. Its answer or failure asks for a pass, which finds what is still wanted.

--- a/azurelanding/start_permits.py
+++ b/azurelanding/start_permits.py
@@ -31,7 +31,7 @@
 
     ``granted`` maps workers to a ticket and the ``boot_time`` until which it is used.
     ``refused`` holds the workers that got no permit, ``wanted`` the workers to request
-    permits for next.
+    permits for next; there are none while a request of the step is in flight.
     """
 
     ready: object
@@ -39,6 +39,7 @@
     granted: dict = attrs.field(factory=dict)
     refused: set = attrs.field(factory=set)
     wanted: list = attrs.field(factory=list)
+    is_requested: bool = False
 
 
 class StartPermits:
@@ -84,7 +85,7 @@
             capacity for capacity in capacities.values() if capacity.fits(ready.step)
         ]
         useful = sum(capacity.id in permits.granted for capacity in fitting)
-        if useful >= len(ready.tasks):
+        if permits.is_requested or useful >= len(ready.tasks):
             permits.wanted = []
             return
         untried = [
@@ -129,13 +130,16 @@
             await self._request(self._next_wanted())
 
     async def _request(self, permits):
-        workers, permits.wanted = permits.wanted, []
+        workers, permits.wanted, permits.is_requested = permits.wanted, [], True
         job, occurrence, number = permits.ready.key
         sent_at = boot_time()
         try:
-            granted = await self.client.request_permits(
-                job, occurrence, number, workers, permits.advice
-            )
+            try:
+                granted = await self.client.request_permits(
+                    job, occurrence, number, workers, permits.advice
+                )
+            finally:
+                permits.is_requested = False
         except AdviceError as error:
             logger.info(
                 "start permit request failed", job=job, step=number, reason=str(error)
--- a/azurelanding/tests/test_start_permits.py
+++ b/azurelanding/tests/test_start_permits.py
@@ -18,6 +18,8 @@
     The first ``failures`` calls fail.
     """
 
+    seconds = 0.02
+
     def __init__(self, good, failures=0):
         self.good = good
         self.failures = failures
@@ -25,6 +27,7 @@
 
     async def request_permits(self, job, occurrence, number, workers, advice):
         self.calls.append(list(workers))
+        await anyio.sleep(self.seconds)
         if self.failures:
             self.failures -= 1
             raise AdviceError("no answer")
@@ -83,6 +86,23 @@
         self.find(service)
         self.assertEqual(1, len(service.calls))
 
+    def test_permits_are_requested_once_if_a_pass_looks_during_the_request(self):
+        service = AdviceStandIn(["w"])
+        (step,) = ready(make_job())
+        capacities = {"w": make_capacity("w")}
+
+        async def main():
+            permits = StartPermits(service, lambda queue: ADVICE)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(permits.run)
+                for _ in range(5):
+                    permits.usable_workers(step, capacities, lambda: None)
+                    await anyio.sleep(0.3 * AdviceStandIn.seconds)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual([["w"]], service.calls)
+
 
 class WorkerFailureTrackerTest(testtools.TestCase):
     """Workers on which tasks of several jobs fail."""
