Let the pools of a daemon take turns at the advice service

What callers could see: on a daemon that controls several pools with advice, steps started late or never, more so the more pools it controls.

Cause: the service serves the calls of a host one after another, and each pool had a client of its own with a timeout of 1.5 s beyond the time of its own call. A call that waited behind those of other pools for longer was given up and sent again, behind all of them, so that none of the pools got an answer any more. From 32 pools on the calls would be refused as too many.

Evidence: found by reading.

The clients of a daemon now share a lock that is held during a request, so the wait for the other pools is before the request and outside of its timeout, and a host never has more than one call at the service. What to ask for is decided when a pool's turn has come, and the validity of a permit counts from then.

--- a/azurelanding/platform/advice.py
+++ b/azurelanding/platform/advice.py
@@ -10,19 +10,24 @@
 MAX_WORKERS_PER_REQUEST = 100
 """Limit of the advice service on the workers in one request."""
 TIMEOUT_MARGIN_SECONDS = 1.5
-"""Added to the service's stated response time, for requests that wait in its queue."""
+"""Added to the service's stated response time, for an answer that is late."""
 
 
 class AdviceClient:
-    """Client of the advice service: one connection, one request at a time."""
+    """Client of the advice service: one connection, one request at a time.
 
-    def __init__(self, connection):
+    ``turn`` is a lock that the clients of a daemon share. Hold it during a request: the
+    service serves the requests of a host one after another.
+    """
+
+    def __init__(self, connection, turn):
         self.connection = connection
+        self.turn = turn
 
     @classmethod
-    def from_config(cls, address):
+    def from_config(cls, address, turn):
         """Return a client for the service at ``address``."""
-        return cls(HttpClient(address, TIMEOUT_MARGIN_SECONDS))
+        return cls(HttpClient(address, TIMEOUT_MARGIN_SECONDS), turn)
 
     async def request_permits(self, job, occurrence, step, workers, advice):
         """Return the start permits by worker, for the workers that may run a step.
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -61,9 +61,9 @@
     return None
 
 
-def _bind_address(address, make_client):
+def _bind_address(address, make_client, **options):
     """Bind ``make_client`` to ``address``; return ``None`` without an address."""
-    return functools.partial(make_client, address) if address else None
+    return functools.partial(make_client, address, **options) if address else None
 
 
 def make_service_clients(site):
@@ -74,7 +74,9 @@
         ),
         make_worker_client=WorkerClient.from_config,
         make_hosts=_bind_address(site.hosts_address, HostsClient.from_config),
-        make_advice=_bind_address(site.advice_address, AdviceClient.from_config),
+        make_advice=_bind_address(
+            site.advice_address, AdviceClient.from_config, turn=anyio.Lock()
+        ),
         decode_operator=decode_operator_record,
         decode_worker=lambda record: decode_worker_entry(record.key, record.value),
         encode_wave=operator.encode_wave_status,
--- a/azurelanding/start_permits.py
+++ b/azurelanding/start_permits.py
@@ -45,7 +45,8 @@
 class StartPermits:
     """The start permits of a pool's steps; one task sends one request at a time.
 
-    ``find_advice(queue)`` returns the ``Advice`` of a queue, or ``None``.
+    The pools of a daemon take turns by ``client.turn``. ``find_advice(queue)`` returns
+    the ``Advice`` of a queue, or ``None``.
     """
 
     def __init__(self, client, find_advice):
@@ -127,7 +128,11 @@
         """Request the wanted permits until cancelled."""
         while True:
             await self.requests.wait_until(lambda: self._next_wanted() is not None)
-            await self._request(self._next_wanted())
+            async with self.client.turn:
+                # The step that was wanted before this turn may have started or ended.
+                permits = self._next_wanted()
+                if permits is not None:
+                    await self._request(permits)
 
     async def _request(self, permits):
         workers, permits.wanted, permits.is_requested = permits.wanted, [], True
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -97,6 +97,9 @@
 class AdviceModel:
     """Simulates an advice service that allows every worker."""
 
+    def __init__(self):
+        self.turn = anyio.Lock()
+
     async def request_permits(self, job, occurrence, number, workers, advice):
         """Return a ticket for each of ``workers``."""
         return {worker: f"ticket-{worker}" for worker in workers}
--- a/azurelanding/tests/test_start_permits.py
+++ b/azurelanding/tests/test_start_permits.py
@@ -1,12 +1,20 @@
 """Test start permits, and the suspension of workers on which tasks fail."""
 
+import unittest.mock
+
 import anyio
+import msgspec
 import testtools
 
 from azurelanding.configuration import Advice
+from azurelanding.http_server import read_body, send_reply
+from azurelanding.platform import advice as advice_module
+from azurelanding.platform.main import make_service_clients
+from azurelanding.site import Site, StoreSettings
 from azurelanding.start_permits import AdviceError, StartPermits
 from azurelanding.tests.platform_world import make_job, make_step, until
 from azurelanding.tests.test_job_placement import make_capacity, ready
+from azurelanding.tests.test_platform_calls import serve
 from azurelanding.worker_health import SUSPEND_AFTER_FAILURES, WorkerFailureTracker
 
 ADVICE = Advice(decision=0.01, per_worker=0.001, valid=5.0)
@@ -22,6 +30,7 @@
 
     def __init__(self, good, failures=0):
         self.good = good
+        self.turn = anyio.Lock()
         self.failures = failures
         self.calls = []
 
@@ -104,6 +113,52 @@
         self.assertEqual([["w"]], service.calls)
 
 
+class QueueOfCallsTest(testtools.TestCase):
+    """The pools of one daemon, whose calls the advice service serves one at a time."""
+
+    def test_pools_of_one_daemon_do_not_time_out_behind_each_other(self):
+        # Calls that were given up after waiting behind those of other pools were sent
+        # again, behind the calls of all of them.
+        advice, calls, service_turn = Advice(0.1, 0.0, 5.0), [], anyio.Lock()
+
+        async def app(scope, receive, send):
+            values = msgspec.json.decode(await read_body(receive, 1 << 20))
+            calls.append(values["step"])
+            async with service_turn:
+                await anyio.sleep(advice.decision)
+            good = [(worker, "t") for worker in values["workers"]]
+            await send_reply(send, 200, (), msgspec.json.encode({"good": good}))
+
+        async def scenario(address):
+            store = StoreSettings("127.0.0.1:1")
+            site = Site("e", "a", "", "", "", store, advice_address=address)
+            service_clients = make_service_clients(site)
+            pools = [
+                StartPermits(service_clients.make_advice(), lambda queue: advice)
+                for _ in range(8)
+            ]
+            steps = [ready(make_job(f"{n:016x}"))[0] for n in range(len(pools))]
+            capacities = {"w": make_capacity("w")}
+
+            def usable_workers(number):
+                return pools[number].usable_workers(
+                    steps[number], capacities, lambda: None
+                )
+
+            async with anyio.create_task_group() as task_group:
+                for number, permits in enumerate(pools):
+                    task_group.start_soon(permits.run)
+                    usable_workers(number)
+                await until(lambda: all(map(usable_workers, range(len(pools)))))
+                task_group.cancel_scope.cancel()
+            for permits in pools:
+                await permits.close()
+
+        with unittest.mock.patch.object(advice_module, "TIMEOUT_MARGIN_SECONDS", 0.2):
+            serve(app, scenario)
+        self.assertEqual(8, len(calls))
+
+
 class WorkerFailureTrackerTest(testtools.TestCase):
     """Workers on which tasks of several jobs fail."""
 
