Number the orders to a worker on when its link is made anew

What callers could see: tasks that were placed on a worker which had just come back from another pool didn't start for half a second for each order that the worker had been sent under the same epoch before, minutes in all for a worker that was busy.

Cause: a link numbered its orders from 1. A worker refuses orders that aren't higher than the last ones of their epoch, so that late ones have no effect. The link to a worker is dropped when its host leaves the pool or changes its address, and made again under the same epoch when it is back; its numbers had been used by then, and each refused attempt took the next one after a delay. A placer that is started again under its epoch numbered from 1 as well.

Evidence: found by reading.

The links of a daemon now share one count, which never goes back. An epoch belongs to one process, so no number comes twice under it.

--- a/azurelanding/placement_task.py
+++ b/azurelanding/placement_task.py
@@ -1,6 +1,7 @@
 """Run the placement of the pools that this control daemon controls."""
 
 import collections
+import itertools
 import time
 
 import anyio
@@ -144,7 +145,8 @@
 
     def _add_link(self, host, task_group):
         client = WorkerClient.from_config(host.address, self.settings)
-        link = TaskWorkerLink(host, self.pool, self.epoch, client)
+        sequences = self.daemon.placements.sequences
+        link = TaskWorkerLink(host, self.pool, self.epoch, client, sequences=sequences)
         self.links[host.name] = link
         self.scopes[host.name] = anyio.CancelScope()
         task_group.start_soon(self._follow, link)
@@ -365,10 +367,14 @@
 
 
 class Placements:
-    """The placers of the pools that this daemon controls, by pool."""
+    """The placers of the pools that this daemon controls, by pool.
+
+    ``sequences`` numbers the orders to workers, also those of later placers of a pool.
+    """
 
     def __init__(self, daemon):
         self.daemon = daemon
+        self.sequences = itertools.count(1)
         self.placers = {}
         self.scopes = {}
 
--- a/azurelanding/tests/test_workers.py
+++ b/azurelanding/tests/test_workers.py
@@ -15,6 +15,7 @@
 from azurelanding.standins.site import free_ports
 from azurelanding.standins.worker import Worker
 from azurelanding.tasks import End, Placement, Resources, Task, TaskPhase, TaskState
+from azurelanding.tests.platform_world import until
 from azurelanding.workers import wire
 from azurelanding.workers.follower import TaskWorkerLink, apply_report
 from azurelanding.workers.wire import Attempt, AttemptPhase
@@ -422,6 +423,24 @@
 
         self.run_cluster(scenario, workers=1)
 
+    def test_worker_that_was_lent_to_another_pool_takes_orders_again(self):
+        # The orders of its new link were numbered from 1 again, and refused as old.
+        async def scenario(cluster, task_group):
+            worker = cluster.workers[0]
+            worker.knobs.run_time = 0.05
+            placer = cluster.placer(3)
+            task_group.start_soon(placer.run)
+            await cluster.submit("print", 4, "a")
+            await cluster.wait_until(lambda tasks: len(tasks.finished) == 4)
+            for pool, is_linked in (("other", False), ("cuts", True)):
+                cluster.state.hosts["w0"] = fleet.HostState(pool, 1)
+                await until(lambda expected=is_linked: bool(placer.links) == expected)
+            await cluster.submit("print", 1, "b")
+            await cluster.wait_until(lambda tasks: len(tasks.finished) == 5)
+            self.assertEqual(0, worker.refused)
+
+        self.run_cluster(scenario, workers=1)
+
     def test_stops_cancelled_tasks(self):
         async def scenario(cluster, task_group):
             worker = cluster.workers[0]
--- a/azurelanding/workers/follower.py
+++ b/azurelanding/workers/follower.py
@@ -1,5 +1,6 @@
 """Follow one worker: read its reports and send it orders."""
 
+import itertools
 import time
 
 import anyio
@@ -22,8 +23,9 @@
     first reported, in seconds since the epoch. ``silent_since`` is the monotonic
     time of the first failed request since the last contact, or ``None``. Only
     failed requests set it, so that a pause of this process is not taken for silence
-    of the worker. ``version`` is that of the last report, ``changes`` counts the
-    reports applied, and ``sequence`` is that of the last orders. Notify
+    of the worker. ``version`` is that of the last report, and ``changes`` counts the
+    reports applied. ``sequences`` numbers the orders; all links of an epoch share it,
+    because a worker refuses a number that isn't higher than those before. Notify
     ``orders_due`` to have the orders computed again.
     """
 
@@ -35,7 +37,7 @@
     incarnation: str = ""
     version: int = 0
     changes: int = 0
-    sequence: int = 0
+    sequences: itertools.count = attrs.field(factory=lambda: itertools.count(1))
     silent_since: float | None = None
     first_seen: dict = attrs.field(factory=dict)
     orders_due: Notifier = attrs.field(factory=Notifier)
@@ -109,8 +111,7 @@
 
 
 async def _send(link, orders, on_change):
-    link.sequence += 1
-    orders = attrs.evolve(orders, sequence=link.sequence)
+    orders = attrs.evolve(orders, sequence=next(link.sequences))
     report = await link.client.order(orders)
     _forget_tasks(link, orders.forget)
     apply_report(link, report, time.time())
