Keep what runs use on each worker, rather than sum it up in each pass

Each report of a worker asks for a pass of its pool's controller, and a pass summed up the needs of all runs of all active jobs to know the free capacity. Callers could see it as leases that run out (TWICE, LOST): while a pass lasts the event loop of the daemon extends none, and the time grew with the product of reports and runs.

The ledger now keeps the sums of a worker until one of its runs changes. Sums over the changes of a decision are made only for the workers on which it changes runs.

test_free_capacity_visits_no_runs failed before. The random histories compare what is kept with a walk over all jobs and runs; without the invalidation, or without that of the draft, they fail.

--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -3,6 +3,7 @@
 from azurelanding.job_records import encode_drop, encode_record
 from azurelanding.jobs import JobState, objective
 from azurelanding.ledger import JobEnded, TaskChanged
+from azurelanding.pool_jobs import sum_usage
 
 
 class JobDraft:
@@ -10,10 +11,10 @@
 
     The ledger itself is not modified: a job is copied before its first change.
 
-    ``copies`` holds the copied jobs, ``changed`` the new task states, ``ended`` the
-    ``JobEnded`` records, ``objectives`` the objectives in seconds of the ended jobs,
-    ``extra`` the other new records, and ``dropped_jobs`` the jobs whose records are
-    deleted.
+    ``copies`` holds the copied jobs, ``changed`` the new task states, ``placed`` the
+    runs on each worker on which they change, ``ended`` the ``JobEnded`` records,
+    ``objectives`` the objectives in seconds of the ended jobs, ``extra`` the other new
+    records, and ``dropped_jobs`` the jobs whose records are deleted.
     """
 
     def __init__(self, ledger, pool):
@@ -21,6 +22,7 @@
         self.pool = pool
         self.copies = {}
         self.changed = {}
+        self.placed = {}
         self.ended = {}
         self.objectives = {}
         self.extra = []
@@ -48,11 +50,32 @@
             )
             copy.failed_tasks = stored.failed_tasks
             self.copies[task_id.job] = copy
+        self._unplace(task_id, copy.task(task_id))
         copy.set_task(task_id, state)
         self.changed[task_id] = state
+        for run, worker in state.active.items():
+            self._runs_on(worker)[task_id, run] = None
+
+    def _runs_on(self, worker):
+        runs = self.placed.get(worker)
+        if runs is None:
+            runs = self.placed[worker] = dict(self.ledger.placed.get(worker, {}))
+        return runs
+
+    def _unplace(self, task_id, task):
+        for run, worker in task.active.items():
+            self._runs_on(worker).pop((task_id, run), None)
+
+    def usage(self, worker):
+        """Return the ``WorkerUsage`` of a worker by the runs of the pool."""
+        if worker in self.placed:
+            return sum_usage(self.placed[worker], self.job, self.pool)
+        return self.ledger.usage(self.pool, worker)
 
     def end_job(self, job_id, outcome, now):
         """End a job, which drops the records of its tasks and the steps of the job."""
+        for task_id, task in self.job(job_id).tasks.items():
+            self._unplace(task_id, task)
         self.objectives[job_id] = objective(self.ledger.active[job_id].job)
         self.ended[job_id] = JobEnded(job_id, outcome, now)
 
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -6,9 +6,12 @@
 key is ignored, so a writer may apply its own records as soon as they are stored.
 """
 
+import collections
+
 import attrs
 
 from azurelanding.jobs import Job, JobOutcome, JobState, TaskId, TaskState
+from azurelanding.pool_jobs import PoolJobs
 
 
 @attrs.frozen
@@ -88,7 +91,8 @@
     offset of the newest applied record of each key. ``placed`` maps each worker to the
     runs that may be on it. ``vacated`` maps each pool to the workers that its
     controller keeps drained. ``missing`` maps each pool to the workers that have runs
-    but no entry in the registry, and each of these to the time since when.
+    but no entry in the registry, and each of these to the time since when. ``pools``
+    holds the ``PoolJobs`` of each pool.
     """
 
     def __init__(self):
@@ -102,6 +106,7 @@
         self.vacated = {}
         self.missing = {}
         self.offsets = {}
+        self.pools = collections.defaultdict(PoolJobs)
 
     def apply(self, key, record, offset):
         """Apply one record, or drop its key if ``record`` is ``None``.
@@ -151,12 +156,14 @@
         state = self.active.get(record.task.job)
         if state is None:
             return
-        self._index_runs(record.task, state.task(record.task), -1)
+        pool = self.pools[state.job.pool]
+        self._index_runs(pool, record.task, state.task(record.task), -1)
         state.set_task(record.task, record.state)
-        self._index_runs(record.task, record.state, 1)
+        self._index_runs(pool, record.task, record.state, 1)
 
-    def _index_runs(self, task_id, task, sign):
+    def _index_runs(self, pool, task_id, task, sign):
         for run, worker in task.active.items():
+            pool.usage.pop(worker, None)
             runs = self.placed.setdefault(worker, {})
             if sign > 0:
                 runs[task_id, run] = None
@@ -171,7 +178,7 @@
             return
         state.outcome, state.ended_at = record.outcome, record.at
         for task_id, task in state.tasks.items():
-            self._index_runs(task_id, task, -1)
+            self._index_runs(self.pools[state.job.pool], task_id, task, -1)
         state.tasks = {}
         state.job = attrs.evolve(state.job, spec="", steps=())
 
@@ -182,6 +189,11 @@
             self.jobs.pop(name, None)
         self.offsets.pop(key, None)
 
+    def usage(self, pool, worker):
+        """Return the ``WorkerUsage`` of a worker by the runs of a pool."""
+        runs = self.placed.get(worker)
+        return self.pools[pool].usage_on(worker, pool, runs, self.active.get)
+
     def pending(self, queue):
         """Return the number of accepted jobs of ``queue`` that have started no task."""
         return sum(
--- /dev/null
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -0,0 +1,250 @@
+"""Test what is kept of a pool's jobs, so that a controller need not look at each."""
+
+import anyio
+import testtools
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+
+from azurelanding import job_ends
+from azurelanding.job_draft import JobDraft
+from azurelanding.jobs import JobOutcome, TaskId, TaskState
+from azurelanding.ledger import (
+    JobCancelled,
+    JobEnded,
+    JobSubmitted,
+    Ledger,
+    TaskChanged,
+    record_key,
+)
+from azurelanding.pool_control import PoolController
+from azurelanding.pool_jobs import WorkerUsage
+from azurelanding.pool_stream import PoolStream
+from azurelanding.standins.platform_worker import WorkerModel
+from azurelanding.tasks import Resources
+from azurelanding.tests.platform_world import World, make_job, make_queue, make_step
+from azurelanding.utils import boot_time
+from azurelanding.worker_calls import WorkerReport
+
+POOLS = ("cuts", "previews")
+WORKERS = ("v", "w", "x")
+JOBS = [
+    make_job(
+        f"{number:016x}",
+        (
+            make_step(2, need=Resources(0.25 * (number + 1), 3, 1), tail_target=1.0),
+            make_step(2, need=Resources(0.5, 1, 0), after=(0,), fills=number == 1),
+            make_step(1, long_running=number == 2, gang=True),
+        ),
+        POOLS[number % 2],
+        max_attempts=2,
+        occurrences=1 + number % 2,
+    )
+    for number in range(4)
+]
+ACTIONS = ("submit", "free", "fail", "done", "cancel", "end", "drop", *("place",) * 6)
+
+HISTORIES = st.lists(
+    st.tuples(
+        st.sampled_from(ACTIONS),
+        st.sampled_from(JOBS),
+        st.integers(0, 4),
+        st.sampled_from(WORKERS),
+    ),
+    min_size=20,
+    max_size=60,
+)
+
+
+def changed_task(state, action, index, worker):
+    """Return the id and new state of a task of a job after an action on it."""
+    step, index = divmod(index, 2)
+    task_id = TaskId(state.job.id, state.job.occurrences - 1, step, index)
+    task = state.task(task_id).copy()
+    if action == "place":
+        task.last_run += 1
+        task.active[task.last_run] = worker
+    elif task.active:
+        task.active.popitem()
+    task.failures += action == "fail"
+    task.is_done = task.is_done or action == "done"
+    return task_id, task
+
+
+def make_record(ledger, action, job, index, worker):
+    """Return the key and the record of an action, two ``None`` if it can't be taken."""
+    state = ledger.active.get(job.id)
+    if action == "submit":
+        record = JobSubmitted(job)
+    elif action == "drop":
+        # Only the records of jobs that have ended are dropped.
+        is_ended = job.id in ledger.jobs and state is None
+        return (("job", job.id) if is_ended else None), None
+    elif state is None:
+        return None, None
+    elif action == "cancel":
+        record = JobCancelled(job.id, 2.0)
+    elif action == "end":
+        record = JobEnded(job.id, JobOutcome.COMPLETED, 3.0)
+    else:
+        record = TaskChanged(*changed_task(state, action, index, worker))
+    return record_key(record), record
+
+
+def change_draft(draft, action, job, index, worker):
+    """Take an action on a draft, if it can be taken there."""
+    state = draft.job(job.id)
+    if state is None:
+        return
+    task_id, task = changed_task(state, action, index, worker)
+    if action == "place":
+        draft.set_task(task_id, task)
+    elif action == "free":
+        job_ends.record_lost_run(draft, task_id, task.last_run)
+    elif action == "end":
+        draft.end_job(job.id, JobOutcome.COMPLETED, 3.0)
+
+
+def walk(draft):
+    """Return the jobs of the draft's pool that have not ended, by a full walk."""
+    states = [draft.job(job_id) for job_id in draft.ledger.active]
+    return [state for state in states if state and state.job.pool == draft.pool]
+
+
+def walk_usage(draft, worker):
+    """Return the ``WorkerUsage`` of a worker by a walk over all jobs and runs."""
+    usage = WorkerUsage()
+    for state in walk(draft):
+        for task_id, task in state.tasks.items():
+            for _ in filter(worker.__eq__, task.active.values()):
+                step = state.job.steps[task_id.step]
+                key = (task_id.job, task_id.occurrence, task_id.step)
+                usage.cores += 0.0 if step.fills else step.need.cores
+                usage.memory += step.need.memory
+                usage.accelerators += step.need.accelerators
+                usage.steps[key] = usage.steps.get(key, 0) + 1
+                usage.fillers += step.fills
+                usage.serving += step.tail_target > 0
+    return usage
+
+
+class CountedDict(dict):
+    """Adds each entry that is looked at to ``visits``, which all of them share."""
+
+    visits = []
+
+    def __iter__(self):
+        self.visits.extend(super().keys())
+        return super().__iter__()
+
+    def items(self):
+        self.visits.extend(super().keys())
+        return super().items()
+
+    def values(self):
+        self.visits.extend(super().keys())
+        return super().values()
+
+    def get(self, key, default=None):
+        self.visits.append(key)
+        return super().get(key, default)
+
+
+class StartedTasks:
+    """Stands for a task group; it starts nothing."""
+
+    def start_soon(self, *arguments):
+        pass
+
+
+async def make_controller(workers, jobs):
+    """Return a controller of idle ``workers``, which is not run, and its ``jobs``."""
+    world = World()
+    world.configure(make_queue())
+    daemon = world.daemon("d")
+    stream = PoolStream(0, world.store.client, "d", lambda partition: 1.0)
+    controller = PoolController("cuts", 1, stream, daemon)
+    controller.start_budget.join(controller, boot_time())
+    for worker in workers:
+        daemon.registry.put(worker, WorkerModel(worker, "cuts").entry())
+    controller.pool_links.reconcile(StartedTasks())
+    for link in controller.links.values():
+        link._apply_report(WorkerReport(1.0, 1, (), ()), boot_time())
+    for offset, job in enumerate(jobs):
+        controller.ledger.apply(("job", job.id), JobSubmitted(job), offset)
+    return controller
+
+
+def run_tasks(controller, first_offset=1_000):
+    """Let the first two tasks of each job run, one on each of two workers."""
+    offset = first_offset
+    for number, job_id in enumerate(list(controller.ledger.active)):
+        workers = list(controller.links)
+        for index in range(2):
+            worker = workers[(2 * number + index) % len(workers)]
+            record = TaskChanged(TaskId(job_id, 0, 0, index), TaskState(1, {1: worker}))
+            controller.ledger.apply(record_key(record), record, offset)
+            offset += 1
+
+
+def count_visits(test, controller):
+    """Return a list to which each task and run that is looked at is added."""
+    test.patch(CountedDict, "visits", [])
+    for state in controller.ledger.active.values():
+        state.tasks = CountedDict(state.tasks)
+    for worker, runs in controller.ledger.placed.items():
+        controller.ledger.placed[worker] = CountedDict(runs)
+    return CountedDict.visits
+
+
+class UnchangedPassTest(testtools.TestCase):
+    """A controller's pass over 100 jobs with 200 runs, none of which has changed.
+
+    While it lasts the event loop extends no lease.
+    """
+
+    def setUp(self):
+        super().setUp()
+        workers = [f"w{number}" for number in range(50)]
+        jobs = [make_job(f"{number:016x}", (make_step(2),)) for number in range(100)]
+        self.controller = anyio.run(make_controller, workers, jobs)
+        run_tasks(self.controller)
+
+    def test_free_capacity_visits_no_runs(self):
+        draft = JobDraft(self.controller.ledger, "cuts")
+        self.controller._free_capacity(draft, ())
+        visits = count_visits(self, self.controller)
+        free = self.controller._free_capacity(draft, ())
+        self.assertEqual({4.0}, {capacity.cores for capacity in free.values()})
+        self.assertEqual([], visits)
+
+
+class RandomHistoryTest(testtools.TestCase):
+    """What is kept, against walks over all jobs and runs."""
+
+    def check(self, draft):
+        """Compare what the draft and its ledger keep with full walks."""
+        for worker in WORKERS:
+            self.assertEqual(walk_usage(draft, worker), draft.usage(worker))
+
+    @settings(
+        derandomize=True,
+        max_examples=100,
+        deadline=None,
+        database=None,
+        phases=[Phase.generate],
+    )
+    @given(HISTORIES, HISTORIES, st.integers(1, 9))
+    def test_kept_sums_equal_those_of_a_full_walk(self, history, changes, interval):
+        ledger = Ledger()
+        submissions = [("submit", job, 0, "") for job in JOBS]
+        for offset, action in enumerate(submissions + history):
+            key, record = make_record(ledger, *action)
+            if key is not None:
+                ledger.apply(key, record, offset)
+            if offset % interval == 0:
+                self.check(JobDraft(ledger, "cuts"))
+        for pool in POOLS:
+            draft = JobDraft(ledger, pool)
+            for change in changes[:interval]:
+                change_draft(draft, *change)
+            self.check(draft)
--- a/azurelanding/worker_capacity.py
+++ b/azurelanding/worker_capacity.py
@@ -1,9 +1,14 @@
 """Compute the free capacity of a pool's workers."""
 
+import functools
+
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.job_placement import WorkerCapacity
 from azurelanding.utils import boot_time
 
+MAX_LABEL_SETS = 4096
+"""Number of different label sets of workers that are kept: one a rack, and some."""
+
 
 def is_usable(link, registered, excluded, worker_failures):
     """Return whether tasks may be placed on a worker now.
@@ -23,19 +28,28 @@
     )
 
 
-def _idle_capacity(entry, worker_failures):
-    """Return the free capacity of a worker on which no tasks are placed."""
+@functools.lru_cache(maxsize=MAX_LABEL_SETS)
+def _rack_and_labels(labels):
     # The rack is the label with a hyphen, such as "r1-3".
-    rack = next((label for label in entry.labels if "-" in label), "")
+    return next((label for label in labels if "-" in label), ""), frozenset(labels)
+
+
+def _free_capacity(entry, penalty, usage):
+    """Return the free capacity of a worker, less the ``usage`` of the runs there."""
+    total = entry.resources
+    rack, labels = _rack_and_labels(entry.labels)
     return WorkerCapacity(
         entry.id,
-        entry.resources.cores,
-        entry.resources.memory,
-        entry.resources.accelerators,
-        entry.resources,
+        total.cores - usage.cores,
+        total.memory - usage.memory,
+        total.accelerators - usage.accelerators,
+        total,
         rack,
-        frozenset(entry.labels),
-        worker_failures.penalty(entry.id) + entry.warmup_seconds,
+        labels,
+        penalty + entry.warmup_seconds,
+        dict(usage.steps),
+        usage.fillers,
+        usage.serving,
     )
 
 
@@ -45,15 +59,10 @@
     ``links`` are the ``PoolLinks``, and ``draft`` holds the jobs with the changes of
     the decision being made.
     """
-    free = {
-        link.entry.id: _idle_capacity(link.entry, worker_failures)
-        for link in links.links.values()
+    return {
+        worker: _free_capacity(
+            link.entry, worker_failures.penalty(worker), draft.usage(worker)
+        )
+        for worker, link in links.links.items()
         if is_usable(link, links.registered, excluded, worker_failures)
     }
-    for state in draft.jobs():
-        for task_id, task in state.tasks.items():
-            for worker in task.active.values():
-                if worker in free:
-                    key = (state.job.id, task_id.occurrence, task_id.step)
-                    free[worker].allocate(state.job.steps[task_id.step], key)
-    return free
