End a superseded controller also while its decision waits for the store

Callers could see a task run twice.

A controller looked for workers that refuse its epoch once for each decision, and a decision waits for the store for as long as it takes. One that was cut off from the store, with a decision to store, so went on extending the leases of all workers that its successor could not reach, although another worker had refused its epoch. A takeover allows two seconds for that and then frees the runs of such workers once their lease is over.

The link that is refused now ends the control itself, which cancels the decision and the links. A hold call waits for one second at most, so this takes little more than that if both controllers reach one worker. The look at all links for each decision is gone.

Test: test_controller_that_waits_for_the_store_extends_no_lease_once_superseded.

--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -69,7 +69,13 @@
         )
         self.start_budget = daemon.start_budget
         self.pool_links = PoolLinks(
-            pool, epoch, stream.ledger, daemon, self.wake, self._count_start
+            pool,
+            epoch,
+            stream.ledger,
+            daemon,
+            self.wake,
+            self.end_control,
+            self._count_start,
         )
         self.links = self.pool_links.links
         self.task_backoffs = {}
@@ -79,14 +85,19 @@
         )
         self.permits = daemon.make_start_permits()
         self.is_lost = False
+        self.decision_scope = anyio.CancelScope()
         self.needs_decision = True
         self.decision_requested = Notifier()
         self.started_at = self.last_expiry_at = boot_time()
 
     def end_control(self):
-        """End the control; ``run`` then raises ``ControlLostError``."""
+        """End the control; ``run`` then raises ``ControlLostError``.
+
+        A decision that waits for the store is abandoned, as leases are extended until
+        ``run`` has ended.
+        """
         self.is_lost = True
-        self.wake()
+        self.decision_scope.cancel()
 
     def wake(self):
         """Request a new decision."""
@@ -106,7 +117,8 @@
             task_group.start_soon(self.permits.run)
             task_group.start_soon(self.pool_links.run_watch)
             try:
-                await self._decide_until_lost(task_group)
+                with self.decision_scope:
+                    await self._decide_until_lost(task_group)
             finally:
                 task_group.cancel_scope.cancel()
                 await self._close()
@@ -157,8 +169,6 @@
                 await anyio.sleep(BATCH_SECONDS)
             self.needs_decision = False
             self.pool_links.reconcile(task_group)
-            if self.pool_links.is_fenced():
-                self.end_control()
             await self._decide()
 
     # Decisions
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -21,16 +21,18 @@
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
     ``late_starts`` maps the workers whose link was dropped while it had unanswered
     starts to these and to ``born`` of the incarnation that may still carry them out.
-    ``wake`` is called when a link has new reports or refusals to process, and
+    ``wake`` is called when a link has new reports or refusals to process,
+    ``end_control`` when a worker has received a call with a higher epoch, and
     ``count_repeat(order)`` before a start is sent again.
     """
 
-    def __init__(self, pool, epoch, ledger, daemon, wake, count_repeat):
+    def __init__(self, pool, epoch, ledger, daemon, wake, end_control, count_repeat):
         self.pool = pool
         self.epoch = epoch
         self.ledger = ledger
         self.daemon = daemon
         self.wake = wake
+        self.end_control = end_control
         self.count_repeat = count_repeat
         self.watch = LinkWatch(pool, daemon.metrics)
         self.links = {}
@@ -38,10 +40,6 @@
         self.late_starts = {}
         self.registered = {}
 
-    def is_fenced(self):
-        """Return whether a worker has received a call with a higher epoch."""
-        return any(link.is_fenced for link in self.links.values())
-
     def reconcile(self, task_group):
         """Add links to newly registered workers, and drop the links not needed."""
         self.registered = self.daemon.registry.in_pool(self.pool)
@@ -73,6 +71,7 @@
             self._make_client,
             self.daemon.site.timing.longest_lease,
             self.wake,
+            self.end_control,
             self._is_startable,
             self.count_repeat,
             self._is_leaving,
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -39,6 +39,7 @@
         "make_client": lambda entry: None,
         "lease": 6.0,
         "notify": lambda: None,
+        "end_control": lambda: None,
         "is_startable": lambda task: True,
         "count_repeat": lambda order: None,
         "is_leaving": lambda worker_id: False,
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -322,6 +322,30 @@
         world = self.run_site(scenario, daemons=2, lease=6.0)
         self.assertEqual([1] * 4, list(count_starts(world, job).values()))
 
+    def test_controller_that_waits_for_the_store_extends_no_lease_once_superseded(self):
+        step = make_step(2, long_running=True, per_worker=1)
+        job = make_job(steps=(step,))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: len(count_starts(world, job)) == 2)
+            (old,) = [daemon for daemon in world.daemons if daemon.controllers]
+            controller = old.controllers["cuts"]
+            shared, reached_by_old = world.fleet.models.values()
+            reached_by_old.knobs.silent_from_epoch = controller.epoch + 1
+            old.member.client.cut = controller.appender.client.cut = True
+            shared.stop(*shared.started[0])
+            await until(lambda: controller.appender.waiting)
+            world.store.groups["control"].members.pop(old.name)
+            world.store.assign("control", ("jobs",))
+            await until(lambda: shared.fence > controller.epoch)
+            await anyio.sleep(4.0)
+            reached_by_old.advance()
+            self.assertEqual({}, reached_by_old.running)
+
+        self.run_site(scenario, daemons=2, lease=2.0)
+
     def test_job_completes_after_the_store_drops_old_records(self):
         job = make_job(steps=(make_step(2), make_step(2, after=(0,))))
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -93,6 +93,7 @@
 
     ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
     ``notify`` is called when there are ends, losses or refusals to process,
+    ``end_control`` when the worker refuses the epoch as superseded,
     ``is_startable(task_id)`` returns whether a placed task may still start,
     ``count_repeat(order)`` is called before an unanswered start is sent again,
     ``is_leaving(worker_id)`` returns whether a worker is known to be going away, and
@@ -105,6 +106,7 @@
         make_client,
         lease,
         notify,
+        end_control,
         is_startable,
         count_repeat,
         is_leaving,
@@ -116,6 +118,7 @@
         self.order_clients = [make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)]
         self.lease = lease
         self.notify = notify
+        self.end_control = end_control
         self.is_startable = is_startable
         self.count_repeat = count_repeat
         self.is_leaving = is_leaving
@@ -313,13 +316,16 @@
     def handle_refusal(self, error):
         """Log a refused call; one that was refused as superseded ends the link."""
         if error.reason is Refusal.FENCED:
-            logger.warning(
-                "worker refused the epoch as superseded", worker=self.entry.id
-            )
-            self.is_fenced = True
+            self.mark_fenced()
         else:
             logger.info("hold call refused", worker=self.entry.id, reason=str(error))
 
+    def mark_fenced(self):
+        """Record that another controller has called the worker under a later epoch."""
+        logger.warning("worker refused the epoch as superseded", worker=self.entry.id)
+        self.is_fenced = True
+        self.end_control()
+
     def _apply_report(self, report, sent_at):
         """Apply a report that was requested at ``sent_at``."""
         if report.born != self.born:
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -198,7 +198,7 @@
     """Make sure that a start that was given up is not carried out late."""
     key = (order.task, order.run)
     if refusal is Refusal.FENCED:
-        link.is_fenced = True
+        link.mark_fenced()
     if refusal is Refusal.UNHEALTHY:
         link.no_starts_until = boot_time() + UNHEALTHY_BACKOFF_SECONDS
     if may_have_started:
