Extend no leases while neither the store nor half of the workers answer

Callers could see tasks run twice.

Nothing kept a controller from extending leases after another one had taken over, for as long as no worker or store refused its epoch. A takeover allows it two seconds. One that was cut off from the store together with some of its workers went on for as long as the cut lasted, and one that was suspended extended every lease once when it went on. Its successor frees the runs of workers that it can't reach after one lease.

A controller whose membership has expired now extends leases only while it has heard from half of its workers in the last two seconds. Its successor calls all workers immediately, and the first one that both reach ends the earlier controller. A daemon can't tell an outage of the store from its own cut by the store alone, but in an outage nobody takes over and its workers still answer, so that long-running tasks go on. Counting reports is one step for each report, whatever the number of workers.

What remains: a controller that is cut off from the store and reaches half of its workers or more, of which its successor reaches none; and one that is cut off from most of its workers in the second after the takeover, which may extend leases for three seconds.

Test: test_controller_that_is_cut_off_from_most_workers_extends_no_lease.

--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -4,6 +4,7 @@
 
 from azurelanding import worker_orders
 from azurelanding.fleet_workers import WorkerPhase
+from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
 from azurelanding.utils import boot_time
 from azurelanding.worker_link import WorkerLink
@@ -36,6 +37,7 @@
         self.count_repeat = count_repeat
         self.watch = LinkWatch(pool, daemon.metrics)
         self.links = {}
+        self.permission = LeasePermission(pool, daemon.member, self.links)
         self.scopes = {}
         self.late_starts = {}
         self.registered = {}
@@ -76,6 +78,7 @@
             self.count_repeat,
             self._is_leaving,
             self.watch,
+            self.permission,
         )
         for key in self.ledger.placed.get(entry.id, ()):
             link.adopt_run(key)
@@ -130,6 +133,7 @@
 
     def _drop(self, worker_id):
         link = self.links.pop(worker_id)
+        self.permission.forget(worker_id)
         if link.unanswered_starts and not link.has_ended:
             self.late_starts[worker_id] = (link.unanswered_starts, link.born)
         self.scopes.pop(worker_id).cancel()
--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -27,8 +27,8 @@
 class WorkerKnobs:
     """The run time and the injected faults of a worker; times are in seconds.
 
-    A ``silent`` worker ignores every call, and each one with an epoch from
-    ``silent_from_epoch`` on. ``lose_replies`` is the number of orders
+    A ``silent`` worker ignores every call, others those with an epoch in
+    ``silent_epochs``. ``lose_replies`` is the number of orders
     still to be carried out without a response, ``late_starts`` the number of starts
     still to be delayed until ``WorkerModel.release``, without a response either. Other
     starts take ``start_delay`` longer. With ``ignore_stops``, stops are neither carried
@@ -41,7 +41,7 @@
 
     run_time: float = 0.05
     silent: bool = False
-    silent_from_epoch: float = float("inf")
+    silent_epochs: range = range(0)
     lose_replies: int = 0
     start_delay: float = 0.0
     late_starts: int = 0
@@ -207,7 +207,7 @@
     async def _begin_call(self):
         await anyio.sleep(0.001)
         model = self.fleet.models[self.worker.id]
-        if model.knobs.silent or self.epoch >= model.knobs.silent_from_epoch:
+        if model.knobs.silent or self.epoch in model.knobs.silent_epochs:
             await anyio.sleep(0.05)
             raise WorkerNoResponseError("no response from the worker", True)
         model.advance()
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -7,7 +7,9 @@
 from azurelanding.fleet_workers import HostEntry, HostPhase
 from azurelanding.host_calls import HostBusyError
 from azurelanding.jobs import Job, Step
+from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
+from azurelanding.membership import GroupMember
 from azurelanding.served_metrics import ServedMetrics
 from azurelanding.site import Site, StoreSettings, Timing
 from azurelanding.site_daemon import ServiceClients, SiteDaemon
@@ -44,6 +46,7 @@
         "count_repeat": lambda order: None,
         "is_leaving": lambda worker_id: False,
         "watch": LinkWatch("cuts", ServedMetrics()),
+        "permission": LeasePermission("cuts", GroupMember("", "", (), None, 0.0), {}),
     }
     return WorkerLink(**{**arguments, **fields})
 
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -322,28 +322,58 @@
         world = self.run_site(scenario, daemons=2, lease=6.0)
         self.assertEqual([1] * 4, list(count_starts(world, job).values()))
 
-    def test_controller_that_waits_for_the_store_extends_no_lease_once_superseded(self):
-        step = make_step(2, long_running=True, per_worker=1)
+    def cut_off(self, workers, silent_for_old):
+        """Take over from a daemon that is cut off from the store.
+
+        Only that daemon reaches the last worker, which has to end its run. The first
+        ``silent_for_old`` workers don't answer it any more.
+        """
+        step = make_step(workers, long_running=True, per_worker=1)
         job = make_job(steps=(step,))
 
         async def scenario(world):
             world.fleet.long_running.add(job.id)
             await submit(world, job)
-            await until(lambda: len(count_starts(world, job)) == 2)
+            await until(lambda: len(count_starts(world, job)) == workers)
             (old,) = [daemon for daemon in world.daemons if daemon.controllers]
             controller = old.controllers["cuts"]
-            shared, reached_by_old = world.fleet.models.values()
-            reached_by_old.knobs.silent_from_epoch = controller.epoch + 1
+            *shared, reached_by_old = world.fleet.models.values()
+            reached_by_old.knobs.silent_epochs = range(controller.epoch + 1, 1 << 40)
+            for model in shared[:silent_for_old]:
+                model.knobs.silent_epochs = range(controller.epoch + 1)
             old.member.client.cut = controller.appender.client.cut = True
-            shared.stop(*shared.started[0])
-            await until(lambda: controller.appender.waiting)
+            if not silent_for_old:
+                shared[0].stop(*shared[0].started[0])
+                await until(lambda: controller.appender.waiting)
             world.store.groups["control"].members.pop(old.name)
             world.store.assign("control", ("jobs",))
-            await until(lambda: shared.fence > controller.epoch)
+            await until(lambda: shared[0].fence > controller.epoch)
             await anyio.sleep(4.0)
             reached_by_old.advance()
             self.assertEqual({}, reached_by_old.running)
 
+        self.run_site(scenario, daemons=2, workers=workers, lease=2.0)
+
+    def test_controller_that_waits_for_the_store_extends_no_lease_once_superseded(self):
+        self.cut_off(workers=2, silent_for_old=0)
+
+    def test_controller_that_is_cut_off_from_most_workers_extends_no_lease(self):
+        self.cut_off(workers=3, silent_for_old=2)
+
+    def test_outage_of_the_store_ends_no_run(self):
+        job = make_job(steps=(make_step(4, long_running=True),))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: len(count_starts(world, job)) == 4)
+            world.store.knobs.refuse = True
+            await anyio.sleep(5.0)
+            models = world.fleet.models.values()
+            for model in models:
+                model.advance()
+            self.assertEqual(4, sum(len(model.running) for model in models))
+
         self.run_site(scenario, daemons=2, lease=2.0)
 
     def test_job_completes_after_the_store_drops_old_records(self):
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -96,8 +96,9 @@
     ``end_control`` when the worker refuses the epoch as superseded,
     ``is_startable(task_id)`` returns whether a placed task may still start,
     ``count_repeat(order)`` is called before an unanswered start is sent again,
-    ``is_leaving(worker_id)`` returns whether a worker is known to be going away, and
-    ``watch`` is the ``LinkWatch`` of the pool.
+    ``is_leaving(worker_id)`` returns whether a worker is known to be going away,
+    ``watch`` is the ``LinkWatch`` of the pool and ``permission`` the
+    ``LeasePermission`` of its controller.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         count_repeat,
         is_leaving,
         watch,
+        permission,
     ):
         self.entry = entry
         self.hold_client = make_client(entry)
@@ -123,6 +125,7 @@
         self.count_repeat = count_repeat
         self.is_leaving = is_leaving
         self.watch = watch
+        self.permission = permission
         self.runs = {}
         self.unanswered_starts = set()
         self.start_times = {}
@@ -181,7 +184,8 @@
         the lease of an unreachable worker has to expire before its tasks may start
         elsewhere. It is also ``None`` while the worker may start a freed run, whose
         task may be in progress elsewhere: a start that comes late is refused only
-        once the worker's lease has expired.
+        once the worker's lease has expired. And it is ``None`` without the permission
+        to extend leases, as another controller may rely on their end.
         """
         if not self._may_extend_lease():
             return None
@@ -190,7 +194,8 @@
 
     def _may_extend_lease(self):
         is_reachable = self.clock is not None and not self.last_hold_failed
-        return is_reachable and self.unanswered_starts <= self.runs.keys()
+        is_settled = self.unanswered_starts <= self.runs.keys()
+        return is_reachable and is_settled and self.permission.is_given()
 
     def extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
@@ -335,6 +340,7 @@
         if self.last_hold_failed:
             silent = round_seconds(boot_time() - self.silent_since)
             logger.info("worker answers again", worker=self.entry.id, silent=silent)
+        self.permission.record_report(self.entry.id)
         self.clock = (report.clock, boot_time())
         self.last_report_at = boot_time()
         self.last_hold_failed = self.may_have_restarted = False
