--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -4,6 +4,7 @@
 
 from azurelanding import worker_orders
 from azurelanding.fleet_workers import WorkerPhase
+from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
 from azurelanding.utils import boot_time
 from azurelanding.worker_link import WorkerLink
@@ -21,27 +22,26 @@
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
     ``late_starts`` maps the workers whose link was dropped while it had unanswered
     starts to these and to ``born`` of the incarnation that may still carry them out.
-    ``wake`` is called when a link has new reports or refusals to process, and
+    ``wake`` is called when a link has new reports or refusals to process,
+    ``end_control`` when a worker has received a call with a higher epoch, and
     ``count_repeat(order)`` before a start is sent again.
     """
 
-    def __init__(self, pool, epoch, ledger, daemon, wake, count_repeat):
+    def __init__(self, pool, epoch, ledger, daemon, wake, end_control, count_repeat):
         self.pool = pool
         self.epoch = epoch
         self.ledger = ledger
         self.daemon = daemon
         self.wake = wake
+        self.end_control = end_control
         self.count_repeat = count_repeat
         self.watch = LinkWatch(pool, daemon.metrics)
         self.links = {}
+        self.permission = LeasePermission(pool, daemon.member, self.links)
         self.scopes = {}
         self.late_starts = {}
         self.registered = {}
 
-    def is_fenced(self):
-        """Return whether a worker has received a call with a higher epoch."""
-        return any(link.is_fenced for link in self.links.values())
-
     def reconcile(self, task_group):
         """Add links to newly registered workers, and drop the links not needed."""
         self.registered = self.daemon.registry.in_pool(self.pool)
@@ -73,10 +73,12 @@
             self._make_client,
             self.daemon.site.timing.longest_lease,
             self.wake,
+            self.end_control,
             self._is_startable,
             self.count_repeat,
             self._is_leaving,
             self.watch,
+            self.permission,
         )
         for key in self.ledger.placed.get(entry.id, ()):
             link.adopt_run(key)
@@ -131,6 +133,7 @@
 
     def _drop(self, worker_id):
         link = self.links.pop(worker_id)
+        self.permission.forget(worker_id)
         if link.unanswered_starts and not link.has_ended:
             self.late_starts[worker_id] = (link.unanswered_starts, link.born)
         self.scopes.pop(worker_id).cancel()
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -93,10 +93,12 @@
 
     ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
     ``notify`` is called when there are ends, losses or refusals to process,
+    ``end_control`` when the worker refuses the epoch as superseded,
     ``is_startable(task_id)`` returns whether a placed task may still start,
     ``count_repeat(order)`` is called before an unanswered start is sent again,
-    ``is_leaving(worker_id)`` returns whether a worker is known to be going away, and
-    ``watch`` is the ``LinkWatch`` of the pool.
+    ``is_leaving(worker_id)`` returns whether a worker is known to be going away,
+    ``watch`` is the ``LinkWatch`` of the pool and ``permission`` the
+    ``LeasePermission`` of its controller.
     """
 
     def __init__(
@@ -105,10 +107,12 @@
         make_client,
         lease,
         notify,
+        end_control,
         is_startable,
         count_repeat,
         is_leaving,
         watch,
+        permission,
     ):
         self.entry = entry
         self.hold_client = make_client(entry)
@@ -116,10 +120,12 @@
         self.order_clients = [make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)]
         self.lease = lease
         self.notify = notify
+        self.end_control = end_control
         self.is_startable = is_startable
         self.count_repeat = count_repeat
         self.is_leaving = is_leaving
         self.watch = watch
+        self.permission = permission
         self.runs = {}
         self.unanswered_starts = set()
         self.start_times = {}
@@ -178,7 +184,8 @@
         the lease of an unreachable worker has to expire before its tasks may start
         elsewhere. It is also ``None`` while the worker may start a freed run, whose
         task may be in progress elsewhere: a start that comes late is refused only
-        once the worker's lease has expired.
+        once the worker's lease has expired. And it is ``None`` without the permission
+        to extend leases, as another controller may rely on their end.
         """
         if not self._may_extend_lease():
             return None
@@ -187,7 +194,8 @@
 
     def _may_extend_lease(self):
         is_reachable = self.clock is not None and not self.last_hold_failed
-        return is_reachable and self.unanswered_starts <= self.runs.keys()
+        is_settled = self.unanswered_starts <= self.runs.keys()
+        return is_reachable and is_settled and self.permission.is_given()
 
     def extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
@@ -313,13 +321,16 @@
     def handle_refusal(self, error):
         """Log a refused call; one that was refused as superseded ends the link."""
         if error.reason is Refusal.FENCED:
-            logger.warning(
-                "worker refused the epoch as superseded", worker=self.entry.id
-            )
-            self.is_fenced = True
+            self.mark_fenced()
         else:
             logger.info("hold call refused", worker=self.entry.id, reason=str(error))
 
+    def mark_fenced(self):
+        """Record that another controller has called the worker under a later epoch."""
+        logger.warning("worker refused the epoch as superseded", worker=self.entry.id)
+        self.is_fenced = True
+        self.end_control()
+
     def _apply_report(self, report, sent_at):
         """Apply a report that was requested at ``sent_at``."""
         if report.born != self.born:
@@ -329,6 +340,7 @@
         if self.last_hold_failed:
             silent = round_seconds(boot_time() - self.silent_since)
             logger.info("worker answers again", worker=self.entry.id, silent=silent)
+        self.permission.record_report(self.entry.id)
         self.clock = (report.clock, boot_time())
         self.last_report_at = boot_time()
         self.last_hold_failed = self.may_have_restarted = False
