Read no more pages of newest records at once than their timeout allows for

A daemon loads its streams side by side, and the timeout of a page allows for four pages that share the host's link (5.7 s at 10 Mbit/s). Nothing kept it to four. With 96 pools all 16 partitions are loaded at once: 16 pages of 1.4 MB take 18 s on such a link, so each of them times out, is thrown away and is asked for again, and a daemon that starts never becomes ready (RECOVER). Found by reading.

The clients of one daemon now share a semaphore, so that pages take turns, and the timeout of a page begins with its turn.

test_pages_of_many_loads_take_turns was seen failing before the change: twelve pages at once in place of four.

--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -5,6 +5,7 @@
 import struct
 import urllib.parse
 
+import anyio
 import msgspec
 
 from azurelanding.http_client import HttpClient, HttpClientError
@@ -38,7 +39,7 @@
 NEWEST_PAGE_BYTES = 1_400_000
 """Longest page of newest records: 1 MB of values in base64."""
 LOADS_AT_ONCE = 4
-"""Number of pages assumed to share the host's link while a daemon loads its streams."""
+"""Number of pages that share the host's link while a daemon loads its streams."""
 APPENDS_AT_ONCE = 4
 """Number of long appends that share the host's link after the store was down."""
 PLATFORM_TOPICS = {
@@ -95,6 +96,11 @@
         raise StoreNoResponseError(f"{call}: {error}") from error
 
 
+def make_page_turns():
+    """Return the semaphore by which the loads of a daemon share its link."""
+    return anyio.Semaphore(LOADS_AT_ONCE)
+
+
 class StoreClient:
     """Client of the store: one connection, one call at a time.
 
@@ -105,22 +111,26 @@
     ``max_kilobytes`` limits the answer to one read, and ``page_timeout`` is the timeout
     in seconds of one page of newest records, whose length the store chooses.
     ``append_rate`` is the rate in bytes per second at which an append crosses the
-    link, or ``None``.
+    link, or ``None``. ``page_turns`` is a semaphore that limits the pages read at once.
     """
 
-    def __init__(self, connection, max_kilobytes, page_timeout, append_rate=None):
+    def __init__(
+        self, connection, max_kilobytes, page_timeout, append_rate, page_turns
+    ):
         self.connection = connection
         self.append_rate = append_rate
         self.max_kilobytes = max_kilobytes
         self.page_timeout = page_timeout
+        self.page_turns = page_turns
 
     @classmethod
-    def from_config(cls, settings, link_rate=None):
+    def from_config(cls, settings, link_rate=None, page_turns=None):
         """Return a client for the store of ``settings``, a ``StoreSettings``.
 
         ``link_rate`` is the bandwidth of the host's link in bytes per second, or
         ``None``. An answer that takes longer than its timeout would be read again from
-        the start, and never arrive.
+        the start, and never arrive. The clients of one daemon share ``page_turns``, of
+        ``make_page_turns``.
         """
         max_kilobytes, page_timeout = MAX_READ_KILOBYTES, CALL_TIMEOUT_SECONDS
         append_rate = None
@@ -130,7 +140,8 @@
             max_kilobytes = min(max(kilobytes, MIN_READ_KILOBYTES), max_kilobytes)
             page_timeout += LOADS_AT_ONCE * NEWEST_PAGE_BYTES / link_rate
         connection = HttpClient(settings.address, CALL_TIMEOUT_SECONDS)
-        return cls(connection, max_kilobytes, page_timeout, append_rate)
+        page_turns = page_turns or make_page_turns()
+        return cls(connection, max_kilobytes, page_timeout, append_rate, page_turns)
 
     async def _call(self, method, name, query, body=b"", timeout=CALL_TIMEOUT_SECONDS):
         target = (
@@ -227,9 +238,10 @@
         query = {"topic": wire_topic(topic), "part": partition}
         if after is not None:
             query["after"] = after
-        status, content = await self._call(
-            "GET", "log-newest", query, timeout=self.page_timeout
-        )
+        async with self.page_turns:
+            status, content = await self._call(
+                "GET", "log-newest", query, timeout=self.page_timeout
+            )
         if status == http.HTTPStatus.NOT_FOUND:
             return ReadRecords((), 0)
         if status != http.HTTPStatus.OK:
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -11,9 +11,9 @@
 from azurelanding.job_service import Acceptance, StateUnknownError
 from azurelanding.jobs import JobPhase
 from azurelanding.platform import callers
-from azurelanding.platform.main import CallerLimits
-from azurelanding.platform.store import StoreClient
-from azurelanding.site import StoreSettings
+from azurelanding.platform.main import CallerLimits, make_service_clients
+from azurelanding.platform.store import LOADS_AT_ONCE, StoreClient
+from azurelanding.site import Site, StoreSettings
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.store import (
     OffsetOutOfRangeError,
@@ -101,6 +101,28 @@
 
         serve(app, scenario)
 
+    def test_pages_of_many_loads_take_turns(self):
+        # More of them than the timeout of a page allows for all timed out.
+        model, running, seen = StoreModel(), [], []
+
+        async def app(scope, receive, send):
+            running.append(scope)
+            seen.append(len(running))
+            await anyio.sleep(0.02)
+            running.remove(scope)
+            await model.app(scope, receive, send)
+
+        async def scenario(address):
+            site = Site("e", "a", "", "", "", StoreSettings(address))
+            make_store = make_service_clients(site).make_store
+            async with anyio.create_task_group() as task_group:
+                for partition in range(3 * LOADS_AT_ONCE):
+                    task_group.start_soon(make_store().newest, "jobs", partition)
+
+        serve(app, scenario)
+        self.assertEqual(3 * LOADS_AT_ONCE, len(seen))
+        self.assertEqual(LOADS_AT_ONCE, max(seen))
+
     def test_long_append_is_answered_over_a_thin_link(self):
         # Appends that took longer than their timeout were sent again and again.
         model, producer, link_rate = StoreModel(), Producer("p", 1), 250_000.0
