Let the stand-in of the store keep a partition with its holder until it knows

A run of all tests failed once: more than one member counted as fleet controller.

Two daemons may both see that the role is free and both join its group. The stand-in gave a partition to another member as soon as that one joined, while the earlier holder learned of it with its next join, up to 0.3 s later. The store does not: a partition that is assigned away goes to another member only when its holder joins with a generation that it got with that news, leaves, or times out. So the second member gets nothing, and leaves again; the role does not move.

Callers could not see the overlap: the real store does not make it, and a new holder fences the stream of plans and waits for holder_pause before it orders what an earlier one may have ordered.

Forced order: 36 members that look at the same moment, the highest name first. The new test failed on the earlier stand-in at the same line as the one that failed once ("too many values to unpack").

--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -138,13 +138,28 @@
 class Group:
     """A consumer group.
 
-    ``members`` holds the boot time at which each membership expires, ``held`` the
-    member to which each pair of topic and partition is assigned.
+    ``members`` holds the boot time at which each membership expires, ``assigned`` the
+    member that is to hold each pair of topic and partition, and ``held`` the one that
+    does. ``revoked`` holds the generation at which a held partition was assigned to
+    another member, which gets it once the holder has learned of that.
     """
 
     generation: int = 0
     members: dict = attrs.field(factory=dict)
+    assigned: dict = attrs.field(factory=dict)
     held: dict = attrs.field(factory=dict)
+    revoked: dict = attrs.field(factory=dict)
+
+    def hand_over(self, member, generation):
+        """Return the partitions of a member that knows of ``generation``.
+
+        It gives up what was assigned to others up to then, and gets what is free.
+        """
+        for partition, revoked_at in list(self.revoked.items()):
+            if self.held[partition] == member and generation >= revoked_at:
+                del self.held[partition], self.revoked[partition]
+        own = [p for p, holder in self.assigned.items() if holder == member]
+        return frozenset(p for p in own if self.held.setdefault(p, member) == member)
 
 
 class StoreModel:
@@ -182,21 +197,31 @@
                 continue
 
     def assign(self, name, topics):
-        """Assign the partitions of ``topics`` evenly to the group's members."""
+        """Assign the partitions of ``topics`` evenly to the group's members.
+
+        What is assigned away from a member is still held by it.
+        """
         group = self.groups[name]
         group.generation += 1
         members = sorted(group.members)
         partitions = [(t, p) for t in topics for p in range(self.partition_count)]
-        group.held = {
+        group.assigned = {
             partition: members[index % len(members)]
             for index, partition in enumerate(partitions)
             if members
         }
+        group.held = {p: m for p, m in group.held.items() if m in group.members}
+        group.revoked = {
+            partition: group.revoked.get(partition, group.generation)
+            for partition, holder in group.held.items()
+            if group.assigned.get(partition) != holder
+        }
 
-    def join(self, name, member, topics, member_timeout):
+    def join(self, name, member, topics, member_timeout, generation=0):
         """Join a group or renew a membership, for ``member_timeout`` seconds.
 
-        Partitions of members whose timeout has passed are assigned to the others.
+        ``generation`` is the last one that the member received. Partitions of members
+        whose timeout has passed are assigned to the others.
         """
         group, now = self.groups[name], boot_time()
         expired = [
@@ -204,14 +229,12 @@
         ]
         for other in expired:
             del group.members[other]
+            group.held = {p: m for p, m in group.held.items() if m != other}
         is_new = member not in group.members
         group.members[member] = now + member_timeout
         if is_new or expired:
             self.assign(name, topics)
-        held = {
-            partition for partition, holder in group.held.items() if holder == member
-        }
-        return Membership(group.generation, frozenset(held))
+        return Membership(group.generation, group.hand_over(member, generation))
 
     def owners(self, name):
         """Return the holder of each partition of a group, without expired members."""
@@ -226,7 +249,7 @@
         """Remove a member from a group and assign its partitions to the others."""
         group = self.groups[name]
         if group.members.pop(member, None) is not None:
-            self.assign(name, sorted({topic for topic, _ in group.held}))
+            self.assign(name, sorted({topic for topic, _ in group.assigned}))
 
     async def app(self, scope, receive, send):
         """Serve the store over HTTP like the platform."""
@@ -315,7 +338,11 @@
 
     async def _serve_join(self, values, send):
         membership = self.join(
-            values["group"], values["member"], values["topics"], values["ttlMs"] / 1000
+            values["group"],
+            values["member"],
+            values["topics"],
+            values["ttlMs"] / 1000,
+            values["generation"],
         )
         parts = [[topic, part, 0] for topic, part in sorted(membership.partitions)]
         answer = {"generation": membership.generation, "parts": parts}
@@ -376,7 +403,7 @@
     async def join(self, group, member, topics, generation, member_timeout):
         """Join as ``StoreClient.join`` does."""
         await self._check_reachable()
-        membership = self.model.join(group, member, topics, member_timeout)
+        membership = self.model.join(group, member, topics, member_timeout, generation)
         self.join_count += 1
         if self.model.knobs.unanswered_join_seconds and self.join_count % 2:
             await anyio.sleep(self.model.knobs.unanswered_join_seconds)
--- a/azurelanding/tests/test_membership.py
+++ b/azurelanding/tests/test_membership.py
@@ -1,9 +1,12 @@
 """Test which partitions a member holds, and under which epoch."""
 
+from unittest import mock
+
 import anyio
 import testtools
 
 from azurelanding.membership import (
+    FLEET_GROUP,
     GroupMember,
     daemon_name,
     member_name,
@@ -181,8 +184,8 @@
         async def main():
             store = StoreModel(2)
             members = [
-                GroupMember.for_single_holder(f"m{n}", "fleet", limits, store.client())
-                for n in range(count)
+                GroupMember.for_single_holder(name, "fleet", limits, store.client())
+                for name in (f"m{99 - n}" for n in range(count))
             ]
             async with anyio.create_task_group() as task_group:
                 for member in members:
@@ -222,6 +225,20 @@
 
         self.run_members(scenario)
 
+    def test_one_of_36_members_that_join_together_is_the_holder(self):
+        # The highest name joins first; the store would assign the role to the lowest.
+        async def scenario(members, task_group):
+            (holder,) = holders(members)
+            for _ in range(150):
+                await anyio.sleep(0.01)
+                self.assertEqual([holder], holders(members))
+            self.assertEqual(
+                [holder.name], list(holder.client.model.groups[FLEET_GROUP].members)
+            )
+
+        with mock.patch("random.uniform", return_value=0.0):
+            self.run_members(scenario, count=36)
+
     def test_another_member_takes_the_role_when_its_holder_leaves(self):
         async def scenario(members, task_group):
             (holder,) = holders(members)
