Look for runs to restart only where a report or the time may show one

A pass evaluated the progress of each run in progress, against the fastest run of its step over all workers, and compared each listed run with the log. So each report of one worker was paid for with a walk over the reports of all, in which the event loop extends no lease; callers could see it as leases that run out at ten times the size.

A worker's runs are now evaluated after its report, when a run of one of their steps was found to be faster elsewhere, when one of them may have stalled since, and as long as one is to be restarted. The fastest run of each step is kept, and searched for only when its own worker reports. Listed runs are compared with the log when the report or the worker's placed runs have changed. The runs that are stopped stay the same.

test_pass_visits_no_jobs_and_runs, which now runs a whole pass, failed before. test_same_runs_are_restarted_as_by_a_walk_over_all_runs compares random reports with the walk; it fails if workers aren't looked at again when a run is faster elsewhere, and if the fastest run stays known after it has ended.

--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -93,10 +93,12 @@
     runs that may be on it. ``vacated`` maps each pool to the workers that its
     controller keeps drained. ``missing`` maps each pool to the workers that have runs
     but no entry in the registry, and each of these to the time since when. ``pools``
-    holds the ``PoolJobs`` of each pool, ``positions`` the next ``JobState.position``.
+    holds the ``PoolJobs`` of each pool, ``positions`` the next ``JobState.position``,
+    and ``placed_versions`` changes with the runs in ``placed`` on each worker.
     """
 
     def __init__(self):
+        self.versions = itertools.count()
         self.clear()
 
     def clear(self):
@@ -109,6 +111,7 @@
         self.offsets = {}
         self.pools = collections.defaultdict(PoolJobs)
         self.positions = itertools.count()
+        self.placed_versions = {}
 
     def apply(self, key, record, offset):
         """Apply one record, or drop its key if ``record`` is ``None``.
@@ -171,13 +174,14 @@
     def _index_runs(self, pool, task_id, task, sign):
         for run, worker in task.active.items():
             pool.usage.pop(worker, None)
+            self.placed_versions[worker] = next(self.versions)
             runs = self.placed.setdefault(worker, {})
             if sign > 0:
                 runs[task_id, run] = None
             else:
                 runs.pop((task_id, run), None)
             if not runs:
-                del self.placed[worker]
+                del self.placed[worker], self.placed_versions[worker]
 
     def _end(self, record):
         state = self.active.pop(record.job, None)
--- a/azurelanding/pool_stops.py
+++ b/azurelanding/pool_stops.py
@@ -2,7 +2,8 @@
 
 import structlog
 
-from azurelanding import filler_throttle, job_ends, run_progress
+from azurelanding import filler_throttle, job_ends
+from azurelanding.run_progress import RestartWatch
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import StopOrder
 
@@ -21,7 +22,8 @@
     """Orders the stops of one controller, and throttles its filler tasks.
 
     ``links`` maps workers to their ``WorkerLink``s. A stalled or slow run is recorded
-    in ``worker_failures`` as a failure of its worker.
+    in ``worker_failures`` as a failure of its worker. ``compared`` tells by worker
+    which report and version of the log listed the same runs.
     """
 
     def __init__(self, pool, ledger, links, worker_failures, metrics):
@@ -31,6 +33,8 @@
         self.worker_failures = worker_failures
         self.metrics = metrics
         self.throttles = filler_throttle.FillerThrottles()
+        self.restart_watch = RestartWatch()
+        self.compared = {}
 
     def stop_unwanted(self):
         """Stop runs that their jobs no longer need, and runs not found in the log."""
@@ -38,22 +42,32 @@
         for state in sorted(stopping, key=lambda state: state.position):
             for task_id, run, worker in job_ends.unwanted_runs(state):
                 self.stop(worker, task_id, run, "job over")
+        self._stop_unknown()
+
+    def _stop_unknown(self):
+        """Stop runs not found in the log, on workers where something has changed."""
+        for worker_id in self.compared.keys() - self.links.keys():
+            del self.compared[worker_id]
         for worker_id, link in self.links.items():
+            version = self.ledger.placed_versions.get(worker_id)
+            compared = link, link.report_count, version
+            if self.compared.get(worker_id) == compared:
+                continue
             placed = self.ledger.placed.get(worker_id, {})
             for task_id, run in link.listed_runs:
                 if (task_id, run) not in placed and (task_id, run) not in link.runs:
                     self.stop(worker_id, task_id, run, "unknown run")
+                    compared = None
+            self.compared[worker_id] = compared
 
     def stop_stalled(self):
         """Stop runs that stall or are far slower than elsewhere, to restart them."""
         now = boot_time()
-        times = run_progress.fastest_step_times(self.links.values())
-        for worker_id, link in self.links.items():
-            restarts = run_progress.runs_to_restart(link, self.ledger, times, now)
-            for task_id, run, reason in restarts:
-                if (task_id, run) not in link.stops:
-                    self.worker_failures.record_failure(worker_id, task_id.job, now)
-                self.stop(worker_id, task_id, run, reason)
+        restarts = self.restart_watch.runs_to_restart(self.links, self.ledger, now)
+        for worker_id, task_id, run, reason in restarts:
+            if (task_id, run) not in self.links[worker_id].stops:
+                self.worker_failures.record_failure(worker_id, task_id.job, now)
+            self.stop(worker_id, task_id, run, reason)
 
     def stop(self, worker_id, task_id, run, reason):
         """Order a stop, unless one was ordered within ``STOP_REPEAT_SECONDS``."""
