Compute no free capacity while a pool has no task to start

Each pass computed the free capacity of all workers of its pool, also where no job had a task to start, as in most passes of a pool without a backlog.

test_pool_without_tasks_to_start_computes_no_free_capacity failed before.

--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -53,6 +53,10 @@
         ending = self.ledger.jobs_of(self.pool).ending
         return [state for state in self._changed_or(ending) if state.may_end]
 
+    def has_startable_jobs(self):
+        """Return whether jobs of the pool may have tasks that may start."""
+        return bool(self.copies or self.ledger.jobs_of(self.pool).startable)
+
     def startable_jobs(self, accepts):
         """Return the jobs of the pool with tasks that may start.
 
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -350,6 +350,9 @@
 
         Tasks for which the link has no room now stay ready, the least urgent ones.
         """
+        if not draft.has_startable_jobs():
+            self._record_held_back(0)
+            return []
         now = time.time()
         free_capacity = self._free_capacity(draft, self.daemon.cordoned())
         bounds = job_placement.FreeBounds(free_capacity.values())
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -257,6 +257,12 @@
         anyio.run(self.controller._decide)
         self.assertEqual([], visits)
 
+    def test_pool_without_tasks_to_start_computes_no_free_capacity(self):
+        visits = []
+        self.patch(self.controller, "_free_capacity", lambda *_: visits.append(1) or {})
+        anyio.run(self.controller._decide)
+        self.assertEqual([], visits)
+
     def test_free_capacity_visits_no_runs(self):
         draft = JobDraft(self.controller.ledger, "cuts")
         self.controller._free_capacity(draft, ())
