Say why a daemon of the local site did not become ready, and wait for live ones

test_an_operator_session failed once beside plays with "entry-1 is not ready: None", which says only that no status was read for 20 s: not whether the process had ended, hung, or had no processor time.

Two causes give that text. A daemon whose address is in use ends at once, and the wait went on for 20 s with the same words (the new test failed with them before).

The wait now ends with the process, and the error tells the exit code, or the state, processor time and load average of a process that runs, with the last fault of the client. That process is aborted, so that its traceback is in the log which the error quotes.

Both new tests failed before.

--- a/azurelanding/tests/test_site.py
+++ b/azurelanding/tests/test_site.py
@@ -1,12 +1,16 @@
 """End-to-end tests of a site in which every daemon is a process of its own."""
 
+import contextlib
+import socket
+
 import anyio
 import testtools
 
 from azurelanding import records
 from azurelanding.http_client import HttpClient
 from azurelanding.operators.client import OperatorsClient
-from azurelanding.standins.site import LocalSite, SiteConfig
+from azurelanding.settings import split_address
+from azurelanding.standins.site import LocalSite, SiteConfig, SiteError
 
 RULES = """
 pool previews hosts=preview-* spare=yes  # Marisol
@@ -64,3 +68,41 @@
 
     def test_serves_requests_through_two_entries(self):
         anyio.run(self.serve_requests_through_two_entries)
+
+
+class StartTest(testtools.TestCase):
+    """What the error says when a daemon does not become ready."""
+
+    async def error_of(self, hinder):
+        site = LocalSite.from_config(SiteConfig(entries=1, controls=0))
+        daemon = site.daemons["entry-1"]
+        try:
+            with hinder(site, daemon) as timeout:
+                await site.start_daemon("entry-1")
+                await site.wait_for_status(daemon, lambda report: False, timeout)
+        except SiteError as error:
+            return str(error)
+        finally:
+            await site.close()
+
+    def test_process_that_has_ended_is_not_waited_for(self):
+        @contextlib.contextmanager
+        def occupied_address(site, daemon):
+            host, port = split_address(daemon.operators)
+            with socket.create_server((host, port)):
+                yield 20.0
+
+        error = anyio.run(self.error_of, occupied_address)
+        self.assertIn("its process ended with exit code", error)
+        self.assertIn("can't listen", error)
+
+    def test_process_that_does_not_answer_shows_what_it_does(self):
+        @contextlib.contextmanager
+        def no_condition_met(site, daemon):
+            yield 4.0
+
+        error = anyio.run(self.error_of, no_condition_met)
+        self.assertRegex(
+            error, r"runs in state \w, has used [\d.]+ s of processor time"
+        )
+        self.assertIn("Fatal Python error: Aborted", error)
