Read long answers of the log service and the host list to their end

Cause: the whole answer had to arrive within the timeout, 2 s by default. An answer that took longer was thrown away and asked for again from its start, and could never arrive.

Evidence: found by reading.

`HttpClient.download` limits how long an answer may stall, not how long it takes, so what is under way is kept however thin the link is.

--- a/azurelanding/host_list/follower.py
+++ b/azurelanding/host_list/follower.py
@@ -39,9 +39,7 @@
 
     async def _fetch(self):
         try:
-            status, content = await self.client.request(
-                "GET", f"/hosts?since={self.version}"
-            )
+            status, content = await self.client.download(f"/hosts?since={self.version}")
             if status != http.HTTPStatus.OK:
                 raise HostListError(f"host list request answered with status {status}")
             return wire.decode_listing(content)
--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -1,5 +1,7 @@
 """Send HTTP requests to one peer over a persistent connection."""
 
+import contextlib
+
 import anyio
 import httpcore
 import msgspec
@@ -26,8 +28,9 @@
 class HttpClient:
     """A connection to one peer, opened on demand, for one request at a time.
 
-    ``timeout`` limits each complete exchange, in seconds. The connection is closed
-    after a failure, so that a late answer can't be taken for that of a later request.
+    ``timeout`` limits each complete exchange, in seconds, unless stated otherwise. The
+    connection is closed after a failure, so that a late answer can't be taken for that
+    of a later request.
     ``on_open()`` is called for each connection that is opened.
     """
 
@@ -48,7 +51,8 @@
         ):
             await self._drop()
 
-    async def _exchange(self, method, target, headers, body):
+    async def _stream(self, method, target, headers=(), body=b""):
+        """Return the context manager of an exchange, whose answer is not read yet."""
         await self._drop_if_closed()
         if self.connection is None:
             self.connection = httpcore.AsyncHTTPConnection(self.origin)
@@ -61,7 +65,7 @@
             target=target.encode(),
         )
         host = ("Host", self.address)
-        return await self.connection.request(
+        return self.connection.stream(
             method, url, headers=[host, *headers], content=body
         )
 
@@ -80,11 +84,39 @@
         ``timeout`` in seconds replaces that of the client. Raises
         ``HttpClientError`` when there is no complete answer in time.
         """
+        async with (
+            self._exchange(timeout),
+            await self._stream(method, target, headers, body) as response,
+        ):
+            await response.aread()
+            return response
+
+    async def download(self, target, timeout=None):
+        """Get ``target`` and return the status and the body of the answer.
+
+        ``timeout`` in seconds limits the wait for the answer to begin, and that of the
+        client how long it may stall. A long answer over a thin link is thus read to its
+        end, where a limit of the whole would have it sent again from the start. Raises
+        ``HttpClientError`` when there is no complete answer.
+        """
+        parts = []
+        async with (
+            self._exchange(timeout) as scope,
+            await self._stream("GET", target) as response,
+        ):
+            async for part in response.aiter_stream():
+                parts.append(part)
+                scope.deadline = anyio.current_time() + self.timeout
+        return response.status, b"".join(parts)
+
+    @contextlib.asynccontextmanager
+    async def _exchange(self, timeout):
+        """Limit the time of an exchange, and close the connection if it fails."""
         max_wait = self.timeout if timeout is None else timeout
         async with self.lock:
             try:
-                with anyio.fail_after(max_wait):
-                    return await self._exchange(method, target, headers, body)
+                with anyio.fail_after(max_wait) as scope:
+                    yield scope
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
                 message = f"can't connect to {self.address}: {error}"
                 raise HttpClientError(message, sent=False) from error
--- a/azurelanding/log_service/client.py
+++ b/azurelanding/log_service/client.py
@@ -75,9 +75,7 @@
         target = f"/streams/{stream}?from={start}&limit={limit}&wait={wait}"
         timeout = self.read_client.timeout + wait
         try:
-            status, content = await self.read_client.request(
-                "GET", target, timeout=timeout
-            )
+            status, content = await self.read_client.download(target, timeout)
             if status != http.HTTPStatus.OK:
                 raise LogUnavailableError(f"read of {stream} refused with {status}")
             return wire.decode_batch(content)
