Read the reports of a restarted worker whose clock was set back

Callers could see tasks never run again.

After a restart with a clock that was set back, all reports of the later incarnation counted as overtaken and were ignored. Each call still extended the lease, so that the runs of the earlier incarnation were neither reported as lost nor freed with the lease.

A report of another incarnation is now outdated only if it was requested before the last report arrived. At most one call to the worker that restarted is ignored by that.

Test: test_reports_after_a_restart_with_a_clock_that_was_set_back_are_read. Before the change the list of the earlier incarnation stayed in force.

--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -291,9 +291,9 @@
         return self.reports.pop(0)
 
 
-def make_report(clock, run):
+def make_report(clock, run, born=1):
     """Return a report that lists one run."""
-    return WorkerReport(clock, 1, (ListedRun(TASK, run, "", 0.5, 0.0),), ())
+    return WorkerReport(clock, born, (ListedRun(TASK, run, "", 0.5, 0.0),), ())
 
 
 class HoldTest(testtools.TestCase):
@@ -321,6 +321,12 @@
         link = self.follow(1.5, HoldClient(0.9, make_report(5.0, 1)), HoldClient(0.0))
         self.assertEqual({KEY}, link.listed_runs.keys())
 
+    def test_reports_after_a_restart_with_a_clock_that_was_set_back_are_read(self):
+        # They were ignored while the lease was extended, so no run was ever freed.
+        reports = make_report(5.0, 1, born=2), make_report(1.0, 2, born=1)
+        link = self.follow(0.5, HoldClient(0.0, *reports), HoldClient(0.0))
+        self.assertEqual({(TASK, 2)}, link.listed_runs.keys())
+
     def test_report_that_was_overtaken_is_ignored(self):
         late, newer = make_report(5.0, 1), make_report(6.0, 2)
         link = self.follow(1.5, HoldClient(0.9, late), HoldClient(0.0, newer))
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -288,15 +288,18 @@
             delay = boot_time() - sent_at - wait
             if delay >= 0.0:
                 self.overdue_delay.record_answer(delay)
-            if not self._is_outdated(report):
+            if not self._is_outdated(report, sent_at):
                 self._apply_report(report, sent_at)
 
-    def _is_outdated(self, report):
-        """Return whether a report was overtaken by one on the other connection."""
+    def _is_outdated(self, report, sent_at):
+        """Return whether a report was overtaken by one on the other connection.
+
+        The start of a later incarnation may seem earlier, as a host's clock may jump.
+        """
         if self.clock is None:
             return False
         if report.born != self.born:
-            return report.born < self.born
+            return sent_at < self.last_report_at
         return report.clock < self.clock[0]
 
     def _record_no_response(self, reason):
