Free the runs of an ordered host only if its worker does not report

Callers could see a task run twice.

A worker counted as ended as soon as an order to its host was accepted. The platform also accepts an order that is already done. If a maintenance was ordered without an answer and carried out, the host returns as another worker, is drained and ordered for the same wave again, and the answer is the same although nothing ends.

A worker with a link now counts as ended by an order only while its calls are not answered and no report has arrived since the order was known. One that has ended loses its connections, so its runs are freed nearly as fast as before. Otherwise the lease decides.

Test: test_order_that_was_carried_out_before_does_not_free_the_runs_of_the_host.

--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -8,6 +8,7 @@
 
 from azurelanding import job_placement
 from azurelanding.configuration import WaveRequest
+from azurelanding.fleet_records import HostPlan, encode_record
 from azurelanding.job_draft import JobDraft
 from azurelanding.job_placement import pick_worker
 from azurelanding.job_service import Acceptance
@@ -277,6 +278,37 @@
 
         self.run_site(scenario, workers=1, lease=6.0)
 
+    def order_host(self, is_ended):
+        """Record an order to the host of a run; return how often its task started.
+
+        The run has more than two seconds left. With ``is_ended``, the order has ended
+        its worker, which otherwise falls silent only later.
+        """
+        job = make_job()
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 5.0
+            await submit(world, job)
+            await until(lambda: count_starts(world, job))
+            (worker,) = [
+                model for model in world.fleet.models.values() if model.started
+            ]
+            worker.knobs.silent = is_ended
+            plan = HostPlan(worker.host, worker.name, 0.0, wave=1, is_ordered=True)
+            world.store.put("fleet", *encode_record(plan))
+            await anyio.sleep(1.5)
+            worker.knobs.silent = True
+            await anyio.sleep(1.0)
+
+        return sum(count_starts(self.run_site(scenario, lease=6.0), job).values())
+
+    def test_order_that_was_carried_out_before_does_not_free_the_runs_of_the_host(self):
+        self.assertEqual(1, self.order_host(is_ended=False))
+
+    def test_order_that_ended_the_worker_frees_its_runs_before_the_lease_is_over(self):
+        self.assertEqual(2, self.order_host(is_ended=True))
+
     def test_repeated_takeovers_still_free_the_runs_of_a_missing_worker(self):
         job = make_job(steps=(make_step(1, long_running=True),))
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -85,6 +85,8 @@
       next report.
     - ``may_have_restarted`` is set from any unanswered or overdue ``hold`` call to the
       next report: another incarnation, with ends of its own, may answer the next call.
+    - ``order_seen_at`` is the ``boot_time`` since when an order to the worker's host is
+      known that ends the worker.
     - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
       flight on the first connection is overdue, ``None`` without such a call.
     - ``unanswered_calls`` is the number of calls without an answer since the last one
@@ -157,6 +159,7 @@
         self.clock = None
         longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
         self.leased_until = boot_time() + longest
+        self.order_seen_at = None
         self.no_starts_until = 0.0
         self.report_count = 0
 
@@ -321,6 +324,17 @@
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
 
+    def is_ended_by_order(self, now):
+        """Return whether the worker has ended, as its host was ordered by ``now``.
+
+        A worker that has reported since is a later incarnation: an order that was
+        carried out before is accepted again and ends nothing.
+        """
+        if self.order_seen_at is None:
+            self.order_seen_at = now
+        reported_at = self.last_report_at or 0.0
+        return self.last_hold_failed and reported_at <= self.order_seen_at
+
     def handle_refusal(self, error):
         """Log a refused call; one that was refused as superseded ends the link."""
         if error.reason is Refusal.FENCED:
