Let repeats of starts wait until what went before them is paid for

Repeats of unanswered starts were counted against the budget of the link, but not held back by it. As they were counted, new starts made room for them, so with single tasks the sum stayed near the budget. A gang goes out whole whatever the budget has: one whose starts take longer on the link than an answer is awaited was sent again and again behind itself, where calls that extend leases wait too.

A repeat is now charged to the budget first and then waits until the debt before it is paid, a third of a lease at most; new starts still wait for it. Afterwards the lease and the last report are read again, so a run that was listed meanwhile isn't repeated. Without debt a repeat waits no longer than before, also on links of unknown rate.

--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -42,6 +42,8 @@
 """How long a worker gets no starts after it refused one for lack of free capacity."""
 TASK_BACKOFF_SECONDS = 0.5
 """How long a task is not placed again after a refused start."""
+REPEAT_WAIT_LEASE_SHARE = 1 / 3
+"""Longest wait of a repeated start for the budget, as a share of the longest lease."""
 
 
 class ControlLostError(Exception):
@@ -69,7 +71,7 @@
         )
         self.start_budget = daemon.start_budget
         self.pool_links = PoolLinks(
-            pool, epoch, stream.ledger, daemon, self.wake, self._count_start
+            pool, epoch, stream.ledger, daemon, self.wake, self._count_repeat
         )
         self.links = self.pool_links.links
         self.task_backoffs = {}
@@ -397,9 +399,19 @@
         self.pool_links.watch.record_held_back(count, now)
 
     def _count_start(self, order):
-        """Count the bytes of a start, or of its repetition, against the budget."""
+        """Count the bytes of a start against the budget."""
         self.start_budget.spend(self, order_bytes(order))
 
+    def _count_repeat(self, order):
+        """Count the repetition of a start; return the seconds until there is room.
+
+        It goes before starts that are not decided yet, which wait until it is paid for.
+        """
+        longest = self.daemon.site.timing.longest_lease * REPEAT_WAIT_LEASE_SHARE
+        debt = self.start_budget.seconds_in_debt(self, boot_time())
+        self._count_start(order)
+        return min(debt, longest)
+
     def _start(self, draft, ready, placed):
         job, task_id = ready.state.job, placed.task
         task = draft.job(job.id).task(task_id).copy()
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -20,7 +20,7 @@
     ``registered`` maps the workers that are registered for the pool to their entries,
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
     ``wake`` is called when a link has new reports or refusals to process, and
-    ``count_repeat(order)`` before a start is sent again.
+    ``count_repeat(order)`` before a start is sent again, after the seconds it returns.
     """
 
     def __init__(self, pool, epoch, ledger, daemon, wake, count_repeat):
--- a/azurelanding/start_budget.py
+++ b/azurelanding/start_budget.py
@@ -105,6 +105,14 @@
         if self.rate is not None and controller in self.budgets:
             self.budgets[controller].balance -= size
 
+    def seconds_in_debt(self, controller, now):
+        """Return how long it takes until what a controller has sent is paid for."""
+        if self.rate is None or controller not in self.budgets:
+            return 0.0
+        self._refill(now)
+        debt = max(0.0, -self.budgets[controller].balance)
+        return debt * len(self._sharing()) / self.rate
+
     def set_waiting(self, controller, is_waiting, now):
         """Note whether the budget holds back ready tasks of a controller from now on.
 
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -40,7 +40,7 @@
         "lease": 6.0,
         "notify": lambda: None,
         "is_startable": lambda task: True,
-        "count_repeat": lambda order: None,
+        "count_repeat": lambda order: 0.0,
         "is_leaving": lambda worker_id: False,
         "watch": LinkWatch("cuts", ServedMetrics()),
     }
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -13,6 +13,7 @@
 from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobPhase
 from azurelanding.membership import partition_of
+from azurelanding.start_budget import LINK_SHARE
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import (
     World,
@@ -366,6 +367,28 @@
         world = self.run_site(scenario, link_rate=50_000.0, lease=6.0)
         self.assertEqual([1] * 40, list(count_starts(world, bulk).values()))
 
+    def test_repeats_of_a_gang_that_fills_the_link_wait_for_the_budget(self):
+        # The starts of the gang take 1.1 seconds of the link, longer than their repeats
+        # used to wait.
+        step = make_step(20, need=Resources(0.1, 1 << 20, 0), gang=True, per_worker=2)
+        job = attrs.evolve(make_job(steps=(step,)), spec="s" * 2_400)
+        rate, seconds, sent = 50_000.0, 3.0, []
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.late_starts = 1_000
+            (daemon,) = world.daemons
+            await until(lambda: daemon.controllers)
+            await submit(world, job)
+            await anyio.sleep(seconds)
+            registry = daemon.metrics.registry
+            sent.append(registry.get_sample_value("azurelanding_start_bytes_total"))
+
+        self.run_site(scenario, workers=10, link_rate=rate, lease=6.0)
+        gang = 20 * 2_800
+        earned = seconds * rate * LINK_SHARE
+        self.assertTrue(gang <= sent[0] <= gang + earned, sent)
+
     def test_worker_that_is_slow_to_start_tasks_holds_up_no_others(self):
         stuck = make_job("a" * 16, (make_step(2),))
         later = make_job("b" * 16, (make_step(2),))
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -65,6 +65,10 @@
         super().setUp()
         self.repeats = []
 
+    def count_repeat(self, order):
+        self.repeats.append(order)
+        return 0.0
+
     def start(
         self,
         client,
@@ -79,7 +83,7 @@
             link = make_link(
                 make_client=lambda entry: client,
                 is_startable=lambda task: is_startable,
-                count_repeat=self.repeats.append,
+                count_repeat=self.count_repeat,
             )
             link.clock = (1.0, boot_time())
             link.last_hold_failed = is_silent
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -94,7 +94,8 @@
     ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
     ``notify`` is called when there are ends, losses or refusals to process,
     ``is_startable(task_id)`` returns whether a placed task may still start,
-    ``count_repeat(order)`` is called before an unanswered start is sent again,
+    ``count_repeat(order)`` is called before an unanswered start is sent again and
+    returns the seconds to wait before,
     ``is_leaving(worker_id)`` returns whether a worker is known to be going away, and
     ``watch`` is the ``LinkWatch`` of the pool.
     """
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -98,10 +98,8 @@
         link.mark_ended(str(error))
 
 
-async def _send_start(link, client, order, lease_end, is_repeat):
+async def _send_start(link, client, order, lease_end):
     """Send a start once; until it is answered, the run may start at any time."""
-    if is_repeat:
-        link.count_repeat(order)
     link.unanswered_starts.add((order.task, order.run))
     link.watch.count_start_bytes(order)
     with link.watched("start"):
@@ -112,15 +110,21 @@
     """Start a run; afterwards the worker has it or certainly never will."""
     key, may_have_started, refusal = (order.task, order.run), False, None
     taken_at, attempt, delays = boot_time(), 0, retry_delays()
+    is_counted = False
     while (end := await _lease_end_of(link, order, may_have_started)) is not None:
         if key in link.listed_runs:
             # Its answer was lost or is still under way.
             link.record_started(key)
             return
-        attempt += 1
+        if may_have_started and not is_counted:
+            is_counted = True
+            await anyio.sleep(link.count_repeat(order))
+            # A report may have listed the run meanwhile.
+            continue
+        attempt, is_counted = attempt + 1, False
         log_late_start(link, order, taken_at, attempt)
         try:
-            await _send_start(link, client, order, end, may_have_started)
+            await _send_start(link, client, order, end)
             if key in link.runs or key not in link.unanswered_starts:
                 link.record_started(key)
                 return
