--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -24,7 +24,7 @@
     starts to these and to ``born`` of the incarnation that may still carry them out.
     ``wake`` is called when a link has new reports or refusals to process,
     ``end_control`` when a worker has received a call with a higher epoch, and
-    ``count_repeat(order)`` before a start is sent again.
+    ``count_repeat(order)`` before a start is sent again, after the seconds it returns.
     """
 
     def __init__(self, pool, epoch, ledger, daemon, wake, end_control, count_repeat):
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -43,7 +43,7 @@
         "notify": lambda: None,
         "end_control": lambda: None,
         "is_startable": lambda task: True,
-        "count_repeat": lambda order: None,
+        "count_repeat": lambda order: 0.0,
         "is_leaving": lambda worker_id: False,
         "watch": LinkWatch("cuts", ServedMetrics()),
         "permission": LeasePermission("cuts", GroupMember("", "", (), None, 0.0), {}),
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -97,7 +97,8 @@
     ``notify`` is called when there are ends, losses or refusals to process,
     ``end_control`` when the worker refuses the epoch as superseded,
     ``is_startable(task_id)`` returns whether a placed task may still start,
-    ``count_repeat(order)`` is called before an unanswered start is sent again,
+    ``count_repeat(order)`` is called before an unanswered start is sent again and
+    returns the seconds to wait before,
     ``is_leaving(worker_id)`` returns whether a worker is known to be going away,
     ``watch`` is the ``LinkWatch`` of the pool and ``permission`` the
     ``LeasePermission`` of its controller.
