Tell callers that a request was not sent when no connection was opened

A call that ran out of time while its connection was still being opened counted as sent, as if the peer might have carried it out. Callers could see 504 for jobs of which not a byte had reached the store, behind a cut or a full queue of connections, in place of a 503 that says that the job will not run. The append with their jobs was also repeated until the store answered, so jobs were stored that nobody waited for any more, and a start that never left the daemon was held for a worker as one that may run.

httpcore tells whether a connection was ever opened; without one, not a byte of the request was sent. A request on an open connection counts as sent as before.

test_request_without_a_connection_was_not_sent (a listener whose queue of connections is full) was seen failing before the change: all four requests counted as sent, where three had no connection.

--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -6,6 +6,9 @@
 
 from azurelanding.settings import split_address
 
+CONNECT_FAILED = "CONNECTION FAILED"
+"""What httpcore tells of a connection that was never opened."""
+
 
 class HttpClientError(Exception):
     """A request got no complete answer.
@@ -48,6 +51,10 @@
         ):
             await self._drop()
 
+    def _was_connected(self):
+        """Return whether the connection was open, so that a request may be sent."""
+        return self.connection is None or self.connection.info() != CONNECT_FAILED
+
     async def _exchange(self, method, target, headers, body):
         await self._drop_if_closed()
         if self.connection is None:
@@ -95,7 +102,7 @@
                 TimeoutError,
             ) as error:
                 message = f"no answer from {self.address}: {error!r}"
-                raise HttpClientError(message, sent=True) from error
+                raise HttpClientError(message, self._was_connected()) from error
             finally:
                 if self.connection is not None and not self.connection.is_idle():
                     await self._drop()
--- a/azurelanding/tests/test_http_client.py
+++ b/azurelanding/tests/test_http_client.py
@@ -1,10 +1,12 @@
 """Tests of the persistent connection to a peer."""
 
+import socket
+
 import anyio
 import testtools
 
 from azurelanding import http_server
-from azurelanding.http_client import HttpClient
+from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.http_server import HttpServer
 
 
@@ -35,3 +37,22 @@
     def test_a_connection_closed_by_its_peer_is_not_reused(self):
         before, after = anyio.run(self.request_before_and_after_a_restart)
         self.assertEqual(((200, b""), (200, b"")), (before, after))
+
+    def test_request_without_a_connection_was_not_sent(self):
+        # It was reported as possibly carried out, so callers got no clean refusal.
+        async def main(listener):
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            clients = [HttpClient(address, 0.3) for _ in range(4)]
+            sent = []
+            for client in clients:
+                try:
+                    await client.request("POST", "/a", b"x")
+                except HttpClientError as error:
+                    sent.append(error.sent)
+            return sent
+
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            # The queue of new connections is full after the first one.
+            self.assertEqual([True, False, False, False], anyio.run(main, listener))
