Count the bytes that a daemon receives from the store and the host API

Nothing showed what a daemon's link carries while nothing is asked of it, nor what the host list costs the fleet controller. Counters now hold the bytes of the answers with their headers, by call and by topic of the store.

The new test can't run without the counters.

--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -28,7 +28,8 @@
 
     ``timeout`` limits each complete exchange, in seconds. The connection is closed
     after a failure, so that a late answer can't be taken for that of a later request.
-    ``on_open()`` is called for each connection that is opened.
+    ``on_open()`` is called for each connection that is opened, and
+    ``on_answer(target, response)`` for each complete answer.
     """
 
     def __init__(self, address, timeout, on_open=None):
@@ -37,6 +38,7 @@
         self.address = address
         self.timeout = timeout
         self.on_open = on_open
+        self.on_answer = None
         self.lock = anyio.Lock()
         self.connection = None
 
@@ -61,9 +63,12 @@
             target=target.encode(),
         )
         host = ("Host", self.address)
-        return await self.connection.request(
+        response = await self.connection.request(
             method, url, headers=[host, *headers], content=body
         )
+        if self.on_answer is not None:
+            self.on_answer(target, response)
+        return response
 
     async def request(self, method, target, body=b"", headers=(), timeout=None):
         """Send a request and return the status and the body of the answer.
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -15,7 +15,9 @@
 from azurelanding.platform.advice import AdviceClient
 from azurelanding.platform.hosts import HostsClient
 from azurelanding.platform.store import StoreClient
+from azurelanding.platform.traffic import count_received
 from azurelanding.platform.workers import WorkerClient, decode_worker_entry
+from azurelanding.served_metrics import ServedMetrics
 from azurelanding.settings import SettingsError
 from azurelanding.site_daemon import ServiceClients, SiteDaemon
 
@@ -106,7 +108,9 @@
 
 
 async def _run(site):
-    daemon = SiteDaemon(site, make_service_clients(site), secrets.token_hex(3))
+    metrics = ServedMetrics()
+    service_clients = count_received(make_service_clients(site), metrics)
+    daemon = SiteDaemon(site, service_clients, secrets.token_hex(3), metrics)
     servers = _make_servers(site, daemon)
     async with anyio.create_task_group() as task_group:
         await daemon.start(task_group)
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -18,7 +18,6 @@
 )
 from azurelanding.pool_control import ControlLostError, PoolController
 from azurelanding.pool_stream import TOPIC, PoolStream
-from azurelanding.served_metrics import ServedMetrics
 from azurelanding.site_state import OperatorFold, WorkersFold
 from azurelanding.start_budget import StartBudget
 from azurelanding.start_permits import StartPermits
@@ -74,12 +73,12 @@
 class SiteDaemon:
     """One daemon: its view of the site, the pools it controls and its job service."""
 
-    def __init__(self, site, service_clients, incarnation):
+    def __init__(self, site, service_clients, incarnation, metrics):
         self.site = site
         self.service_clients = service_clients
         rank = reserve_rank(site.link_rate)
         self.name = member_name(site.name, incarnation, rank)
-        self.metrics = ServedMetrics()
+        self.metrics = metrics
         self.start_budget = StartBudget.from_config(site.link_rate, boot_time())
         self.loop_watch = LoopWatch(self.metrics)
         self.registry = WorkerRegistry()
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -155,7 +155,8 @@
 
     def daemon(self, name, incarnation="1"):
         site = attrs.evolve(self.site, name=name)
-        daemon = SiteDaemon(site, self._make_service_clients(), incarnation)
+        clients = self._make_service_clients()
+        daemon = SiteDaemon(site, clients, incarnation, ServedMetrics())
         self.daemons.append(daemon)
         return daemon
 
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -11,9 +11,11 @@
 from azurelanding.job_service import Acceptance, StateUnknownError
 from azurelanding.jobs import JobPhase
 from azurelanding.platform import callers
-from azurelanding.platform.main import CallerLimits
+from azurelanding.platform.main import CallerLimits, make_service_clients
 from azurelanding.platform.store import StoreClient
-from azurelanding.site import StoreSettings
+from azurelanding.platform.traffic import count_received
+from azurelanding.served_metrics import ServedMetrics
+from azurelanding.site import Site, StoreSettings
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.store import (
     OffsetOutOfRangeError,
@@ -74,6 +76,35 @@
 
         serve(model.app, scenario)
 
+    def test_received_bytes_are_counted_by_call_and_topic(self):
+        model, metrics = StoreModel(), ServedMetrics()
+        model.put("keyed.servers", "w", bytes(1000))
+
+        async def scenario(address):
+            site = Site("e", "a", "", "", "", StoreSettings(address), address)
+            clients = count_received(make_service_clients(site), metrics)
+            client = clients.make_store()
+            await client.read("workers", 0, 0)
+            await client.owners("g")
+            await client.close()
+            hosts = clients.make_hosts("e")
+            await hosts.list_hosts()
+            await hosts.close()
+
+        serve(model.app, scenario)
+        sizes = dict(
+            line.split()
+            for line in metrics.text().decode().splitlines()
+            if "_received_bytes_" in line and line.split()[0].endswith("_total")
+        )
+        calls = ("store_received_bytes_read_workers", "store_received_bytes_owners")
+        names = [
+            f"azurelanding_{c}_total" for c in (*calls, "hosts_received_bytes_list")
+        ]
+        self.assertEqual(set(names), set(sizes))
+        self.assertTrue(1000 < float(sizes[names[0]]) < 1300)
+        self.assertLess(float(sizes[names[1]]), 300)
+
     def test_long_answers_arrive_over_a_thin_link(self):
         # Answers that took longer than their timeout were read again from the start.
         model, producer, link_rate = StoreModel(), Producer("p", 1), 500_000.0
