Do not join a group once the daemon is told to stop

A daemon that was told to stop left its groups, but a member that had just found the role free, or was about to join as a reserve, joined up to 0.3 s or a second later. Its holdings then belonged to a daemon that no longer controls anything until the store's timeout of 1.2 s: with the fleet controller's role no host is ordered meanwhile, with the control group no task of those pools is placed. Found by reading.

Whether the daemon stops is now checked immediately before the join is sent. A join that is already sent is answered before the leave goes out on the same connection.

The new test holds a member in its random delay and stops it; before, it was a member 0.4 s later, in two of two runs.

--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -200,6 +200,8 @@
                 return
         elif self.rank and not await self._is_reserve_needed():
             return
+        if self.stopping:
+            return
         sent_at = boot_time()
         membership = await self.client.join(
             self.group, self.name, self.topics, self.generation, self.member_timeout
--- a/azurelanding/tests/test_membership.py
+++ b/azurelanding/tests/test_membership.py
@@ -239,6 +239,22 @@
         with mock.patch("random.uniform", return_value=0.0):
             self.run_members(scenario, count=36)
 
+    def test_member_that_is_stopped_before_its_join_does_not_join(self):
+        async def scenario(members, task_group):
+            (holder,) = holders(members)
+            group = holder.client.model.groups[FLEET_GROUP]
+            await holder.leave()
+            late = members[1]
+            # It has found the role free, and waits for its random delay.
+            task_group.start_soon(late._join)
+            await anyio.sleep(0.1)
+            await late.leave()
+            await anyio.sleep(0.4)
+            self.assertNotIn(late.name, group.members)
+
+        with mock.patch("random.uniform", return_value=0.3):
+            self.run_members(scenario)
+
     def test_another_member_takes_the_role_when_its_holder_leaves(self):
         async def scenario(members, task_group):
             (holder,) = holders(members)
