--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -33,8 +33,8 @@
 
     ``timeout`` limits each complete exchange, in seconds, unless stated otherwise. The
     connection is closed after a failure, so that a late answer can't be taken for that
-    of a later request.
-    ``on_open()`` is called for each connection that is opened.
+    of a later request. ``on_open()`` is called for each connection that is opened, and
+    ``on_answer(target, response)`` for each complete answer that ``send`` returns.
     """
 
     def __init__(self, address, timeout, on_open=None):
@@ -43,6 +43,7 @@
         self.address = address
         self.timeout = timeout
         self.on_open = on_open
+        self.on_answer = None
         self.lock = anyio.Lock()
         self.connection = None
 
@@ -96,7 +97,9 @@
             await self._stream(method, target, headers, body) as response,
         ):
             await response.aread()
-            return response
+        if self.on_answer is not None:
+            self.on_answer(target, response)
+        return response
 
     async def download(self, target, timeout=None):
         """Get ``target`` and return the status and the body of the answer.
