--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -7,7 +7,9 @@
 from azurelanding.fleet_workers import HostEntry, HostPhase
 from azurelanding.host_calls import HostBusyError
 from azurelanding.jobs import Job, Step
+from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
+from azurelanding.membership import GroupMember
 from azurelanding.served_metrics import ServedMetrics
 from azurelanding.site import Site, StoreSettings, Timing
 from azurelanding.site_daemon import ServiceClients, SiteDaemon
@@ -39,10 +41,12 @@
         "make_client": lambda entry: None,
         "lease": 6.0,
         "notify": lambda: None,
+        "end_control": lambda: None,
         "is_startable": lambda task: True,
         "count_repeat": lambda order: 0.0,
         "is_leaving": lambda worker_id: False,
         "watch": LinkWatch("cuts", ServedMetrics()),
+        "permission": LeasePermission("cuts", GroupMember("", "", (), None, 0.0), {}),
     }
     return WorkerLink(**{**arguments, **fields})
 
@@ -97,6 +101,9 @@
 class AdviceModel:
     """Simulates an advice service that allows every worker."""
 
+    def __init__(self):
+        self.turn = anyio.Lock()
+
     async def request_permits(self, job, occurrence, number, workers, advice):
         """Return a ticket for each of ``workers``."""
         return {worker: f"ticket-{worker}" for worker in workers}
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -177,7 +177,11 @@
 
         self.run_site(scenario)
 
-    def test_start_carried_out_late_does_not_run_beside_its_second_run(self):
+    def start_late(self, is_removed):
+        """Carry out a start after its run was freed and its worker answers again.
+
+        With ``is_removed``, the worker's entry is missing meanwhile.
+        """
         job = make_job(steps=(make_step(1, long_running=True),))
 
         async def scenario(world):
@@ -191,7 +195,13 @@
             other_worker, late_worker = models
             other_worker.knobs.late_starts = 0
             late_worker.knobs.silent = True
+            if is_removed:
+                world.store.put("workers", late_worker.name, None)
             await until(lambda: other_worker.started)
+            if is_removed:
+                (controller,) = world.daemons[0].controllers.values()
+                await until(lambda: late_worker.name not in controller.links)
+                world.store.put("workers", late_worker.name, b"entry")
             late_worker.knobs.silent, late_worker.knobs.ignore_stops = False, True
             await anyio.sleep(0.8)
             late_worker.release()
@@ -202,6 +212,12 @@
         world = self.run_site(scenario, lease=2.0)
         self.assertEqual([1], list(count_starts(world, job).values()))
 
+    def test_start_carried_out_late_does_not_run_beside_its_second_run(self):
+        self.start_late(is_removed=False)
+
+    def test_late_start_on_a_worker_that_was_removed_meanwhile_runs_nothing_twice(self):
+        self.start_late(is_removed=True)
+
     def test_stalled_run_is_restarted_elsewhere(self):
         job = make_job(steps=(make_step(1, estimate=0.05),))
 
@@ -307,6 +323,60 @@
         world = self.run_site(scenario, daemons=2, lease=6.0)
         self.assertEqual([1] * 4, list(count_starts(world, job).values()))
 
+    def cut_off(self, workers, silent_for_old):
+        """Take over from a daemon that is cut off from the store.
+
+        Only that daemon reaches the last worker, which has to end its run. The first
+        ``silent_for_old`` workers don't answer it any more.
+        """
+        step = make_step(workers, long_running=True, per_worker=1)
+        job = make_job(steps=(step,))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: len(count_starts(world, job)) == workers)
+            (old,) = [daemon for daemon in world.daemons if daemon.controllers]
+            controller = old.controllers["cuts"]
+            *shared, reached_by_old = world.fleet.models.values()
+            reached_by_old.knobs.silent_epochs = range(controller.epoch + 1, 1 << 40)
+            for model in shared[:silent_for_old]:
+                model.knobs.silent_epochs = range(controller.epoch + 1)
+            old.member.client.cut = controller.appender.client.cut = True
+            if not silent_for_old:
+                shared[0].stop(*shared[0].started[0])
+                await until(lambda: controller.appender.waiting)
+            world.store.groups["control"].members.pop(old.name)
+            world.store.assign("control", ("jobs",))
+            await until(lambda: shared[0].fence > controller.epoch)
+            await anyio.sleep(4.0)
+            reached_by_old.advance()
+            self.assertEqual({}, reached_by_old.running)
+
+        self.run_site(scenario, daemons=2, workers=workers, lease=2.0)
+
+    def test_controller_that_waits_for_the_store_extends_no_lease_once_superseded(self):
+        self.cut_off(workers=2, silent_for_old=0)
+
+    def test_controller_that_is_cut_off_from_most_workers_extends_no_lease(self):
+        self.cut_off(workers=3, silent_for_old=2)
+
+    def test_outage_of_the_store_ends_no_run(self):
+        job = make_job(steps=(make_step(4, long_running=True),))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: len(count_starts(world, job)) == 4)
+            world.store.knobs.refuse = True
+            await anyio.sleep(5.0)
+            models = world.fleet.models.values()
+            for model in models:
+                model.advance()
+            self.assertEqual(4, sum(len(model.running) for model in models))
+
+        self.run_site(scenario, daemons=2, lease=2.0)
+
     def test_job_completes_after_the_store_drops_old_records(self):
         job = make_job(steps=(make_step(2), make_step(2, after=(0,))))
 
@@ -318,6 +388,21 @@
         world = self.run_site(scenario)
         self.assertEqual([1] * 4, list(count_starts(world, job).values()))
 
+    def test_ended_job_is_stored_without_its_work(self):
+        # A daemon that started loaded it for as long as the job is reported.
+        job = attrs.evolve(make_job(), spec="x" * 4_000)
+
+        async def scenario(world):
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+            partition = world.store.partitions["jobs", partition_of("cuts", 4)]
+            stored = [len(record.value) for record in partition.newest.values()]
+            self.assertLess(sum(stored), 500)
+            await world.daemon("new").start(world.daemons[0].task_group)
+            await until_phase(world, job, JobPhase.COMPLETED, 1)
+
+        self.run_site(scenario)
+
     def test_runs_of_a_cancelled_job_are_stopped(self):
         job = make_job(steps=(make_step(2, long_running=True),))
 
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -82,7 +82,7 @@
     while not (link.has_ended or link.is_fenced):
         refusal = await _call_until_answered(link, "stop", client.stop, task, run)
         if refusal is None or refusal.reason is not Refusal.UNHEALTHY:
-            link.record_no_later_start(task, run)
+            link.record_stopped(task, run)
             return
         await anyio.sleep(RETRY_DELAY_SECONDS)
 
@@ -114,7 +114,7 @@
     while (end := await _lease_end_of(link, order, may_have_started)) is not None:
         if key in link.listed_runs:
             # Its answer was lost or is still under way.
-            link.record_started(key)
+            link.await_reports(key)
             return
         if may_have_started and not is_counted:
             is_counted = True
@@ -202,7 +202,7 @@
     """Make sure that a start that was given up is not carried out late."""
     key = (order.task, order.run)
     if refusal is Refusal.FENCED:
-        link.is_fenced = True
+        link.mark_fenced()
     if refusal is Refusal.UNHEALTHY:
         link.no_starts_until = boot_time() + UNHEALTHY_BACKOFF_SECONDS
     if may_have_started:
