Wait longer for orders also when opening a connection took too long

Since a request without a connection counts as not sent, an order that ran out of time while its connection was opened no longer lengthened the timeout of the next one.

The timeout grows after each order that ran out of time, whether it was sent or not. Whether its run may have started still depends on whether it was sent.

test_orders_wait_longer_when_opening_a_connection_takes_too_long was seen failing before the change: the timeout stayed as it was.

--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -178,7 +178,7 @@
         try:
             await self._call(name, values, timeout)
         except WorkerNoResponseError as error:
-            if error.sent:
+            if error.sent or error.timed_out:
                 self.order_timeout.record_no_answer(timeout)
             raise
         except WorkerRefusedError:
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -1,5 +1,7 @@
 """Test a link to a worker over real connections whose answers come late."""
 
+import socket
+
 import anyio
 import msgspec
 import testtools
@@ -12,7 +14,7 @@
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import make_link
 from azurelanding.utils import boot_time
-from azurelanding.worker_calls import StartOrder
+from azurelanding.worker_calls import StartOrder, WorkerNoResponseError
 
 LEASE_SECONDS = 6.0
 LATENCY_SECONDS = 0.8
@@ -100,3 +102,21 @@
         link = anyio.run(self.run_link, start)
         self.assertIsNotNone(link.runs[KEY])
         self.assertLessEqual(len(self.worker.calls), 3)
+
+    def test_orders_wait_longer_when_opening_a_connection_takes_too_long(self):
+        # On a full link the opening packets are late too.
+        async def stop(address):
+            client = WorkerClient.from_config(
+                make_entry(address), 1, LEASE_SECONDS, lambda: None
+            )
+            before = client.order_timeout.seconds
+            with testtools.ExpectedException(WorkerNoResponseError):
+                await client.stop(TASK, 1)
+            return client.order_timeout.seconds / before
+
+        with socket.socket() as listener, socket.socket() as other:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            other.connect(listener.getsockname())
+            address = "{}:{}".format(*listener.getsockname())
+            self.assertGreater(anyio.run(stop, address), 1.0)
