--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -1,11 +1,16 @@
 """Send HTTP requests to one peer over a persistent connection."""
 
+import contextlib
+
 import anyio
 import httpcore
 import msgspec
 
 from azurelanding.settings import split_address
 
+CONNECT_FAILED = "CONNECTION FAILED"
+"""What httpcore tells of a connection that was never opened."""
+
 
 class HttpClientError(Exception):
     """A request got no complete answer.
@@ -26,10 +31,11 @@
 class HttpClient:
     """A connection to one peer, opened on demand, for one request at a time.
 
-    ``timeout`` limits each complete exchange, in seconds. The connection is closed
-    after a failure, so that a late answer can't be taken for that of a later request.
+    ``timeout`` limits each complete exchange, in seconds, unless stated otherwise. The
+    connection is closed after a failure, so that a late answer can't be taken for that
+    of a later request.
     ``on_open()`` is called for each connection that is opened, and
-    ``on_answer(target, response)`` for each complete answer.
+    ``on_answer(target, headers, length)`` for each complete answer.
     """
 
     def __init__(self, address, timeout, on_open=None):
@@ -50,7 +56,12 @@
         ):
             await self._drop()
 
-    async def _exchange(self, method, target, headers, body):
+    def _was_connected(self):
+        """Return whether the connection was open, so that a request may be sent."""
+        return self.connection is None or self.connection.info() != CONNECT_FAILED
+
+    async def _stream(self, method, target, headers=(), body=b""):
+        """Return the context manager of an exchange, whose answer is not read yet."""
         await self._drop_if_closed()
         if self.connection is None:
             self.connection = httpcore.AsyncHTTPConnection(self.origin)
@@ -63,12 +74,13 @@
             target=target.encode(),
         )
         host = ("Host", self.address)
-        response = await self.connection.request(
+        return self.connection.stream(
             method, url, headers=[host, *headers], content=body
         )
+
+    def _tell_answer(self, target, response, content):
         if self.on_answer is not None:
-            self.on_answer(target, response)
-        return response
+            self.on_answer(target, response.headers, len(content))
 
     async def request(self, method, target, body=b"", headers=(), timeout=None):
         """Send a request and return the status and the body of the answer.
@@ -85,11 +97,42 @@
         ``timeout`` in seconds replaces that of the client. Raises
         ``HttpClientError`` when there is no complete answer in time.
         """
+        async with (
+            self._exchange(timeout),
+            await self._stream(method, target, headers, body) as response,
+        ):
+            content = await response.aread()
+        self._tell_answer(target, response, content)
+        return response
+
+    async def download(self, target, timeout=None):
+        """Get ``target`` and return the status and the body of the answer.
+
+        ``timeout`` in seconds limits the wait for the answer to begin, and that of the
+        client how long it may stall. A long answer over a thin link is thus read to its
+        end, where a limit of the whole would have it sent again from the start. Raises
+        ``HttpClientError`` when there is no complete answer.
+        """
+        parts = []
+        async with (
+            self._exchange(timeout) as scope,
+            await self._stream("GET", target) as response,
+        ):
+            async for part in response.aiter_stream():
+                parts.append(part)
+                scope.deadline = anyio.current_time() + self.timeout
+        content = b"".join(parts)
+        self._tell_answer(target, response, content)
+        return response.status, content
+
+    @contextlib.asynccontextmanager
+    async def _exchange(self, timeout):
+        """Limit the time of an exchange, and close the connection if it fails."""
         max_wait = self.timeout if timeout is None else timeout
         async with self.lock:
             try:
-                with anyio.fail_after(max_wait):
-                    return await self._exchange(method, target, headers, body)
+                with anyio.fail_after(max_wait) as scope:
+                    yield scope
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
                 message = f"can't connect to {self.address}: {error}"
                 raise HttpClientError(message, sent=False) from error
@@ -100,7 +143,7 @@
                 TimeoutError,
             ) as error:
                 message = f"no answer from {self.address}: {error!r}"
-                raise HttpClientError(message, sent=True) from error
+                raise HttpClientError(message, self._was_connected()) from error
             finally:
                 if self.connection is not None and not self.connection.is_idle():
                     await self._drop()
--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -1,8 +1,11 @@
 """Collect the changes of one decision on a ledger before they are stored."""
 
+import itertools
+
 from azurelanding.job_records import encode_drop, encode_record
-from azurelanding.jobs import JobState, objective
+from azurelanding.jobs import objective
 from azurelanding.ledger import JobEnded, TaskChanged
+from azurelanding.pool_jobs import sum_usage
 
 
 class JobDraft:
@@ -10,10 +13,10 @@
 
     The ledger itself is not modified: a job is copied before its first change.
 
-    ``copies`` holds the copied jobs, ``changed`` the new task states, ``ended`` the
-    ``JobEnded`` records, ``objectives`` the objectives in seconds of the ended jobs,
-    ``extra`` the other new records, and ``dropped_jobs`` the jobs whose records are
-    deleted.
+    ``copies`` holds the copied jobs, ``changed`` the new task states, ``placed`` the
+    runs on each worker on which they change, ``ended`` the ``JobEnded`` records,
+    ``objectives`` the objectives in seconds of the ended jobs, ``extra`` the other new
+    records, and ``dropped_jobs`` the jobs whose records are deleted.
     """
 
     def __init__(self, ledger, pool):
@@ -21,6 +24,7 @@
         self.pool = pool
         self.copies = {}
         self.changed = {}
+        self.placed = {}
         self.ended = {}
         self.objectives = {}
         self.extra = []
@@ -32,27 +36,68 @@
             return None
         return self.copies.get(job_id) or self.ledger.active.get(job_id)
 
-    def jobs(self):
-        """Yield the ``JobState`` of each job of the pool that has not ended."""
-        for job_id, state in self.ledger.active.items():
-            if state.job.pool == self.pool and job_id not in self.ended:
-                yield self.copies.get(job_id, state)
+    def _changed_or(self, job_ids):
+        """Return the jobs of ``job_ids``, and those of the pool that were changed.
+
+        They have the order of their acceptance, without those that were ended.
+        """
+        copies = {
+            job_id for job_id, copy in self.copies.items() if copy.job.pool == self.pool
+        }
+        states = [self.job(job_id) for job_id in copies.union(job_ids)]
+        states = [state for state in states if state is not None]
+        return sorted(states, key=lambda state: state.position)
+
+    def jobs_to_end(self):
+        """Return the jobs of the pool that may end now."""
+        ending = self.ledger.jobs_of(self.pool).ending
+        return [state for state in self._changed_or(ending) if state.may_end]
+
+    def has_startable_jobs(self):
+        """Return whether jobs of the pool may have tasks that may start."""
+        return bool(self.copies or self.ledger.jobs_of(self.pool).startable)
+
+    def startable_jobs(self, accepts):
+        """Return the jobs of the pool with tasks that may start.
+
+        Jobs are left out if ``accepts(need, fills)`` is false for all such tasks.
+        """
+        startable = self.ledger.jobs_of(self.pool).startable
+        accepted = [jobs for need, jobs in startable.items() if accepts(*need)]
+        return self._changed_or(itertools.chain.from_iterable(accepted))
 
     def set_task(self, task_id, state):
         """Change the state of a task."""
         copy = self.copies.get(task_id.job)
         if copy is None:
-            stored = self.ledger.active[task_id.job]
-            copy = JobState(
-                stored.job, dict(stored.tasks), dict(stored.done), stored.cancelled_at
-            )
-            copy.failed_tasks = stored.failed_tasks
+            copy = self.ledger.active[task_id.job].copy()
             self.copies[task_id.job] = copy
+        self._unplace(task_id, copy.task(task_id))
         copy.set_task(task_id, state)
         self.changed[task_id] = state
+        for run, worker in state.active.items():
+            self._runs_on(worker)[task_id, run] = None
+
+    def _runs_on(self, worker):
+        runs = self.placed.get(worker)
+        if runs is None:
+            runs = self.placed[worker] = dict(self.ledger.placed.get(worker, {}))
+        return runs
+
+    def _unplace(self, task_id, task):
+        for run, worker in task.active.items():
+            self._runs_on(worker).pop((task_id, run), None)
+
+    def usage(self, worker):
+        """Return the ``WorkerUsage`` of a worker by the runs of the pool."""
+        if worker in self.placed:
+            return sum_usage(self.placed[worker], self.job, self.pool)
+        return self.ledger.usage(self.pool, worker)
 
     def end_job(self, job_id, outcome, now):
-        """End a job, which drops the records of its tasks and the steps of the job."""
+        """End a job, which drops the records of its tasks and of its work."""
+        for task_id, task in self.job(job_id).tasks.items():
+            self._unplace(task_id, task)
         self.objectives[job_id] = objective(self.ledger.active[job_id].job)
         self.ended[job_id] = JobEnded(job_id, outcome, now)
 
@@ -71,6 +116,10 @@
         for job_id in self.dropped_jobs:
             for kind in ("cancel", "end", "job"):
                 yield encode_drop((kind, job_id))
+        # A submission that is repeated after the end stores the work again.
+        for job_id in (*self.ended, *self.dropped_jobs):
+            if ("work", job_id) in self.ledger.offsets:
+                yield encode_drop(("work", job_id))
 
     def records(self):
         """Return the changes as encoded records, including the dropped keys."""
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -14,7 +14,7 @@
 from azurelanding.platform import callers, operator, settings
 from azurelanding.platform.advice import AdviceClient
 from azurelanding.platform.hosts import HostsClient
-from azurelanding.platform.store import StoreClient
+from azurelanding.platform.store import StoreClient, make_page_turns
 from azurelanding.platform.traffic import count_received
 from azurelanding.platform.workers import WorkerClient, decode_worker_entry
 from azurelanding.served_metrics import ServedMetrics
@@ -63,20 +63,22 @@
     return None
 
 
-def _bind_address(address, make_client):
+def _bind_address(address, make_client, **options):
     """Bind ``make_client`` to ``address``; return ``None`` without an address."""
-    return functools.partial(make_client, address) if address else None
+    return functools.partial(make_client, address, **options) if address else None
 
 
 def make_service_clients(site):
     """Return the client factories, codecs and topics for the peers of ``site``."""
     return ServiceClients(
         make_store=functools.partial(
-            StoreClient.from_config, site.store, site.link_rate
+            StoreClient.from_config, site.store, site.link_rate, make_page_turns()
         ),
         make_worker_client=WorkerClient.from_config,
         make_hosts=_bind_address(site.hosts_address, HostsClient.from_config),
-        make_advice=_bind_address(site.advice_address, AdviceClient.from_config),
+        make_advice=_bind_address(
+            site.advice_address, AdviceClient.from_config, turn=anyio.Lock()
+        ),
         decode_operator=decode_operator_record,
         decode_worker=lambda record: decode_worker_entry(record.key, record.value),
         encode_wave=operator.encode_wave_status,
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -42,6 +42,8 @@
 """How long a worker gets no starts after it refused one for lack of free capacity."""
 TASK_BACKOFF_SECONDS = 0.5
 """How long a task is not placed again after a refused start."""
+REPEAT_WAIT_LEASE_SHARE = 1 / 3
+"""Longest wait of a repeated start for the budget, as a share of the longest lease."""
 
 
 class ControlLostError(Exception):
@@ -69,7 +71,13 @@
         )
         self.start_budget = daemon.start_budget
         self.pool_links = PoolLinks(
-            pool, epoch, stream.ledger, daemon, self.wake, self._count_start
+            pool,
+            epoch,
+            stream.ledger,
+            daemon,
+            self.wake,
+            self.end_control,
+            self._count_repeat,
         )
         self.links = self.pool_links.links
         self.task_backoffs = {}
@@ -79,14 +87,19 @@
         )
         self.permits = daemon.make_start_permits()
         self.is_lost = False
+        self.decision_scope = anyio.CancelScope()
         self.needs_decision = True
         self.decision_requested = Notifier()
         self.started_at = self.last_expiry_at = boot_time()
 
     def end_control(self):
-        """End the control; ``run`` then raises ``ControlLostError``."""
+        """End the control; ``run`` then raises ``ControlLostError``.
+
+        A decision that waits for the store is abandoned, as leases are extended until
+        ``run`` has ended.
+        """
         self.is_lost = True
-        self.wake()
+        self.decision_scope.cancel()
 
     def wake(self):
         """Request a new decision."""
@@ -106,7 +119,8 @@
             task_group.start_soon(self.permits.run)
             task_group.start_soon(self.pool_links.run_watch)
             try:
-                await self._decide_until_lost(task_group)
+                with self.decision_scope:
+                    await self._decide_until_lost(task_group)
             finally:
                 task_group.cancel_scope.cancel()
                 await self._close()
@@ -157,8 +171,6 @@
                 await anyio.sleep(BATCH_SECONDS)
             self.needs_decision = False
             self.pool_links.reconcile(task_group)
-            if self.pool_links.is_fenced():
-                self.end_control()
             await self._decide()
 
     # Decisions
@@ -256,7 +268,11 @@
         """Free the runs that are certainly no longer in progress."""
         now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
-            link.has_ended = link.has_ended or self._has_ended(worker_id, ended)
+            link.has_ended = (
+                link.has_ended
+                or self.daemon.registry.has_later_incarnation(worker_id)
+                or (worker_id in ended and link.is_ended_by_order(now))
+            )
             for (task, run), refusal in link.not_started:
                 self._record_refusal(draft, link, task, run, refusal)
             link.not_started = []
@@ -350,23 +366,26 @@
 
         Tasks for which the link has no room now stay ready, the least urgent ones.
         """
+        if not draft.has_startable_jobs():
+            self._record_held_back(0)
+            return []
         now = time.time()
         free_capacity = self._free_capacity(draft, self.daemon.cordoned())
         bounds = job_placement.FreeBounds(free_capacity.values())
         ready_steps = [
             ready
-            for state in draft.jobs()
+            for state in draft.startable_jobs(bounds.may_fit)
             for ready in job_placement.ready_steps(
                 state,
                 now,
                 self._is_backing_off,
-                lambda _occurrence, step: bounds.may_fit(step),
+                lambda _occurrence, step: bounds.may_fit(step.need, step.fills),
             )
         ]
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
         starts = []
         for ready in ready_steps:
-            if not bounds.may_fit(ready.step):
+            if not bounds.may_fit(ready.step.need, ready.step.fills):
                 continue
             limit = self.start_budget.affordable(
                 self, OVERHEAD_BYTES + len(ready.state.job.spec), boot_time()
@@ -394,9 +413,19 @@
         self.pool_links.watch.record_held_back(count, now)
 
     def _count_start(self, order):
-        """Count the bytes of a start, or of its repetition, against the budget."""
+        """Count the bytes of a start against the budget."""
         self.start_budget.spend(self, order_bytes(order))
 
+    def _count_repeat(self, order):
+        """Count the repetition of a start; return the seconds until there is room.
+
+        It goes before starts that are not decided yet, which wait until it is paid for.
+        """
+        longest = self.daemon.site.timing.longest_lease * REPEAT_WAIT_LEASE_SHARE
+        debt = self.start_budget.seconds_in_debt(self, boot_time())
+        self._count_start(order)
+        return min(debt, longest)
+
     def _start(self, draft, ready, placed):
         job, task_id = ready.state.job, placed.task
         task = draft.job(job.id).task(task_id).copy()
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -8,11 +8,13 @@
 
 from azurelanding import job_placement
 from azurelanding.configuration import WaveRequest
+from azurelanding.fleet_records import HostPlan, encode_record
 from azurelanding.job_draft import JobDraft
 from azurelanding.job_placement import pick_worker
 from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobPhase
 from azurelanding.membership import partition_of
+from azurelanding.start_budget import LINK_SHARE
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import (
     World,
@@ -176,7 +178,11 @@
 
         self.run_site(scenario)
 
-    def test_start_carried_out_late_does_not_run_beside_its_second_run(self):
+    def start_late(self, is_removed):
+        """Carry out a start after its run was freed and its worker answers again.
+
+        With ``is_removed``, the worker's entry is missing meanwhile.
+        """
         job = make_job(steps=(make_step(1, long_running=True),))
 
         async def scenario(world):
@@ -190,7 +196,13 @@
             other_worker, late_worker = models
             other_worker.knobs.late_starts = 0
             late_worker.knobs.silent = True
+            if is_removed:
+                world.store.put("workers", late_worker.name, None)
             await until(lambda: other_worker.started)
+            if is_removed:
+                (controller,) = world.daemons[0].controllers.values()
+                await until(lambda: late_worker.name not in controller.links)
+                world.store.put("workers", late_worker.name, b"entry")
             late_worker.knobs.silent, late_worker.knobs.ignore_stops = False, True
             await anyio.sleep(0.8)
             late_worker.release()
@@ -201,6 +213,12 @@
         world = self.run_site(scenario, lease=2.0)
         self.assertEqual([1], list(count_starts(world, job).values()))
 
+    def test_start_carried_out_late_does_not_run_beside_its_second_run(self):
+        self.start_late(is_removed=False)
+
+    def test_late_start_on_a_worker_that_was_removed_meanwhile_runs_nothing_twice(self):
+        self.start_late(is_removed=True)
+
     def test_stalled_run_is_restarted_elsewhere(self):
         job = make_job(steps=(make_step(1, estimate=0.05),))
 
@@ -261,6 +279,37 @@
 
         self.run_site(scenario, workers=1, lease=6.0)
 
+    def order_host(self, is_ended):
+        """Record an order to the host of a run; return how often its task started.
+
+        The run has more than two seconds left. With ``is_ended``, the order has ended
+        its worker, which otherwise falls silent only later.
+        """
+        job = make_job()
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 5.0
+            await submit(world, job)
+            await until(lambda: count_starts(world, job))
+            (worker,) = [
+                model for model in world.fleet.models.values() if model.started
+            ]
+            worker.knobs.silent = is_ended
+            plan = HostPlan(worker.host, worker.name, 0.0, wave=1, is_ordered=True)
+            world.store.put("fleet", *encode_record(plan))
+            await anyio.sleep(1.5)
+            worker.knobs.silent = True
+            await anyio.sleep(1.0)
+
+        return sum(count_starts(self.run_site(scenario, lease=6.0), job).values())
+
+    def test_order_that_was_carried_out_before_does_not_free_the_runs_of_the_host(self):
+        self.assertEqual(1, self.order_host(is_ended=False))
+
+    def test_order_that_ended_the_worker_frees_its_runs_before_the_lease_is_over(self):
+        self.assertEqual(2, self.order_host(is_ended=True))
+
     def test_repeated_takeovers_still_free_the_runs_of_a_missing_worker(self):
         job = make_job(steps=(make_step(1, long_running=True),))
 
@@ -306,6 +355,60 @@
         world = self.run_site(scenario, daemons=2, lease=6.0)
         self.assertEqual([1] * 4, list(count_starts(world, job).values()))
 
+    def cut_off(self, workers, silent_for_old):
+        """Take over from a daemon that is cut off from the store.
+
+        Only that daemon reaches the last worker, which has to end its run. The first
+        ``silent_for_old`` workers don't answer it any more.
+        """
+        step = make_step(workers, long_running=True, per_worker=1)
+        job = make_job(steps=(step,))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: len(count_starts(world, job)) == workers)
+            (old,) = [daemon for daemon in world.daemons if daemon.controllers]
+            controller = old.controllers["cuts"]
+            *shared, reached_by_old = world.fleet.models.values()
+            reached_by_old.knobs.silent_epochs = range(controller.epoch + 1, 1 << 40)
+            for model in shared[:silent_for_old]:
+                model.knobs.silent_epochs = range(controller.epoch + 1)
+            old.member.client.cut = controller.appender.client.cut = True
+            if not silent_for_old:
+                shared[0].stop(*shared[0].started[0])
+                await until(lambda: controller.appender.waiting)
+            world.store.groups["control"].members.pop(old.name)
+            world.store.assign("control", ("jobs",))
+            await until(lambda: shared[0].fence > controller.epoch)
+            await anyio.sleep(4.0)
+            reached_by_old.advance()
+            self.assertEqual({}, reached_by_old.running)
+
+        self.run_site(scenario, daemons=2, workers=workers, lease=2.0)
+
+    def test_controller_that_waits_for_the_store_extends_no_lease_once_superseded(self):
+        self.cut_off(workers=2, silent_for_old=0)
+
+    def test_controller_that_is_cut_off_from_most_workers_extends_no_lease(self):
+        self.cut_off(workers=3, silent_for_old=2)
+
+    def test_outage_of_the_store_ends_no_run(self):
+        job = make_job(steps=(make_step(4, long_running=True),))
+
+        async def scenario(world):
+            world.fleet.long_running.add(job.id)
+            await submit(world, job)
+            await until(lambda: len(count_starts(world, job)) == 4)
+            world.store.knobs.refuse = True
+            await anyio.sleep(5.0)
+            models = world.fleet.models.values()
+            for model in models:
+                model.advance()
+            self.assertEqual(4, sum(len(model.running) for model in models))
+
+        self.run_site(scenario, daemons=2, lease=2.0)
+
     def test_job_completes_after_the_store_drops_old_records(self):
         job = make_job(steps=(make_step(2), make_step(2, after=(0,))))
 
@@ -317,6 +420,21 @@
         world = self.run_site(scenario)
         self.assertEqual([1] * 4, list(count_starts(world, job).values()))
 
+    def test_ended_job_is_stored_without_its_work(self):
+        # A daemon that started loaded it for as long as the job is reported.
+        job = attrs.evolve(make_job(), spec="x" * 4_000)
+
+        async def scenario(world):
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+            partition = world.store.partitions["jobs", partition_of("cuts", 4)]
+            stored = [len(record.value) for record in partition.newest.values()]
+            self.assertLess(sum(stored), 500)
+            await world.daemon("new").start(world.daemons[0].task_group)
+            await until_phase(world, job, JobPhase.COMPLETED, 1)
+
+        self.run_site(scenario)
+
     def test_runs_of_a_cancelled_job_are_stopped(self):
         job = make_job(steps=(make_step(2, long_running=True),))
 
@@ -366,6 +484,28 @@
         world = self.run_site(scenario, link_rate=50_000.0, lease=6.0)
         self.assertEqual([1] * 40, list(count_starts(world, bulk).values()))
 
+    def test_repeats_of_a_gang_that_fills_the_link_wait_for_the_budget(self):
+        # The starts of the gang take 1.1 seconds of the link, longer than their repeats
+        # used to wait.
+        step = make_step(20, need=Resources(0.1, 1 << 20, 0), gang=True, per_worker=2)
+        job = attrs.evolve(make_job(steps=(step,)), spec="s" * 2_400)
+        rate, seconds, sent = 50_000.0, 3.0, []
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.late_starts = 1_000
+            (daemon,) = world.daemons
+            await until(lambda: daemon.controllers)
+            await submit(world, job)
+            await anyio.sleep(seconds)
+            registry = daemon.metrics.registry
+            sent.append(registry.get_sample_value("azurelanding_start_bytes_total"))
+
+        self.run_site(scenario, workers=10, link_rate=rate, lease=6.0)
+        gang = 20 * 2_800
+        earned = seconds * rate * LINK_SHARE
+        self.assertTrue(gang <= sent[0] <= gang + earned, sent)
+
     def test_worker_that_is_slow_to_start_tasks_holds_up_no_others(self):
         stuck = make_job("a" * 16, (make_step(2),))
         later = make_job("b" * 16, (make_step(2),))
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -13,6 +13,7 @@
     ListedRun,
     Refusal,
     StartOrder,
+    StopOrder,
     WorkerNoResponseError,
     WorkerRefusedError,
     WorkerReport,
@@ -65,6 +66,10 @@
         super().setUp()
         self.repeats = []
 
+    def count_repeat(self, order):
+        self.repeats.append(order)
+        return 0.0
+
     def start(
         self,
         client,
@@ -79,7 +84,7 @@
             link = make_link(
                 make_client=lambda entry: client,
                 is_startable=lambda task: is_startable,
-                count_repeat=self.repeats.append,
+                count_repeat=self.count_repeat,
             )
             link.clock = (1.0, boot_time())
             link.last_hold_failed = is_silent
@@ -142,6 +147,17 @@
         self.assertIsNotNone(link.runs[KEY])
         self.assertIsNotNone(link.lease_end())
 
+    def test_restarted_worker_stops_a_listed_run_before_it_counts_as_lost(self):
+        # The list is of the earlier incarnation, a late start of the later one.
+        client = ScriptedClient(unanswered())
+        link = self.start(client, is_listed=True)
+        link._apply_report(WorkerReport(1.0, 2, (), ()), boot_time())
+        self.assertEqual([], link.lost_runs)
+        self.assertEqual(StopOrder(*KEY), link.orders.popleft())
+        anyio.run(worker_orders.stop, link, client, *KEY)
+        link._apply_report(WorkerReport(2.0, 2, (), ()), boot_time())
+        self.assertEqual([KEY], link.lost_runs)
+
     def test_refusal_as_fenced_marks_the_link_fenced(self):
         link = self.start(ScriptedClient(refused(Refusal.FENCED)))
         self.assertTrue(link.is_fenced)
@@ -279,9 +295,9 @@
         return self.reports.pop(0)
 
 
-def make_report(clock, run):
+def make_report(clock, run, born=1):
     """Return a report that lists one run."""
-    return WorkerReport(clock, 1, (ListedRun(TASK, run, "", 0.5, 0.0),), ())
+    return WorkerReport(clock, born, (ListedRun(TASK, run, "", 0.5, 0.0),), ())
 
 
 class HoldTest(testtools.TestCase):
@@ -309,6 +325,12 @@
         link = self.follow(1.5, HoldClient(0.9, make_report(5.0, 1)), HoldClient(0.0))
         self.assertEqual({KEY}, link.listed_runs.keys())
 
+    def test_reports_after_a_restart_with_a_clock_that_was_set_back_are_read(self):
+        # They were ignored while the lease was extended, so no run was ever freed.
+        reports = make_report(5.0, 1, born=2), make_report(1.0, 2, born=1)
+        link = self.follow(0.5, HoldClient(0.0, *reports), HoldClient(0.0))
+        self.assertEqual({(TASK, 2)}, link.listed_runs.keys())
+
     def test_report_that_was_overtaken_is_ignored(self):
         late, newer = make_report(5.0, 1), make_report(6.0, 2)
         link = self.follow(1.5, HoldClient(0.9, late), HoldClient(0.0, newer))
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -1,6 +1,7 @@
 """Follow one partition of a compacted topic of the store."""
 
 import anyio
+import attrs
 import structlog
 
 from azurelanding.store import OffsetOutOfRangeError, StoreError
@@ -14,6 +15,58 @@
 """Delay after a failed read, so that a store that is down is not overloaded."""
 
 
+@attrs.define(eq=False)
+class Load:
+    """The newest record of each key, as far as its pages have been read.
+
+    The pages are read at different times. What was stored since the first one is
+    therefore read after each page and kept in ``changes``, with the records that the
+    follower applied meanwhile. ``next_offset`` is where that reading continues,
+    ``last_key`` the key after which the next page begins. Once it is complete, the load
+    holds the state of the partition at a time after ``caught_up_at``.
+    """
+
+    number: int
+    started_at: float
+    records: list = attrs.field(factory=list)
+    changes: list = attrs.field(factory=list)
+    next_offset: int | None = None
+    last_key: str | None = None
+    has_more: bool = True
+    is_behind: bool = False
+    caught_up_at: float = -1.0
+
+    @property
+    def is_complete(self):
+        """Return whether all pages were read, and all that was stored since."""
+        return not self.has_more and not self.is_behind
+
+    def add_page(self, page, read_at):
+        """Add the next page, whose read began at ``read_at``."""
+        is_first = self.next_offset is None
+        if is_first:
+            self.next_offset = page.end
+        if page.records:
+            self.last_key = page.records[-1].key
+        self.records.extend(page.records)
+        self.has_more = page.has_more
+        self.is_behind = page.has_more or not is_first
+        self.caught_up_at = read_at
+
+    def add_changes(self, batch, read_at):
+        """Add records stored since the first page; the read began at ``read_at``."""
+        if batch.records:
+            self.next_offset = batch.records[-1].offset + 1
+        self.changes.extend(batch.records)
+        self.is_behind = self.next_offset < batch.end
+        self.caught_up_at = read_at
+
+    def sorted_changes(self):
+        """Return the changes in the order of their offsets, each once."""
+        changes = {record.offset: record for record in self.changes}
+        return [changes[offset] for offset in sorted(changes)]
+
+
 class TopicFollower:
     """Applies the records of a partition to a fold, in the order of their offsets.
 
@@ -22,8 +75,8 @@
     ``read_delay()`` returns the seconds between two reads, and ``max_wait`` is the
     longest time in seconds that the store waits for a record before it responds.
     ``caught_up_at`` is when the last read began that reached the end of the partition.
-    ``applied_during_load`` holds, by the number of each load under way, the records
-    that were applied since it began.
+    ``loads`` holds the loads under way; ``paused_load`` is one of them that has lost a
+    page, and which the next attempt continues.
     """
 
     def __init__(self, topic, partition, make_client, fold, read_delay, max_wait):
@@ -40,7 +93,8 @@
         self.refresh_lock = anyio.Lock()
         self.load_count = 0
         self.newest_load = 0
-        self.applied_during_load = {}
+        self.loads = []
+        self.paused_load = None
         self.changes = Notifier()
 
     @property
@@ -52,43 +106,69 @@
         """Apply records that were read, or that this daemon has just stored."""
         for record in records:
             self.fold.apply_stored(record)
-        for applied in self.applied_during_load.values():
-            applied.extend(records)
+        for load in self.loads:
+            load.changes.extend(records)
         self.changes.notify()
 
+    def _begin_or_continue_load(self):
+        load, self.paused_load = self.paused_load, None
+        if load is None:
+            self.load_count += 1
+            load = Load(self.load_count, anyio.current_time())
+            self.loads.append(load)
+        return load
+
+    async def _read_pages(self, load, client):
+        """Read the rest of ``load``, which is paused if a page is lost."""
+        can_continue = True
+        try:
+            while not load.is_complete:
+                read_at, source = anyio.current_time(), (self.topic, self.partition)
+                if load.is_behind:
+                    batch = await client.read(*source, load.next_offset, 0.0)
+                    load.add_changes(batch, read_at)
+                else:
+                    load.add_page(await client.newest(*source, load.last_key), read_at)
+        except OffsetOutOfRangeError:
+            can_continue = False
+            raise
+        finally:
+            is_started = load.next_offset is not None and not load.is_complete
+            if can_continue and is_started and self.paused_load is None:
+                self.paused_load = load
+            else:
+                self.loads.remove(load)
+
     async def _load(self, client):
         """Replace the state by the newest record of each key.
 
-        A load takes long where the link is thin. The records applied meanwhile may be
-        newer than what was loaded, so they are applied again on top. They include all
-        from the end that the load began at, so ``next_offset`` never moves back.
+        A load takes long where the link is thin. What was stored meanwhile may be newer
+        than the pages that were read before, so it is applied on top. That includes the
+        records applied by this daemon, so ``next_offset`` never moves back.
         """
-        started_at = anyio.current_time()
-        self.load_count += 1
-        number = self.load_count
-        applied = self.applied_during_load[number] = []
-        try:
-            newest = await client.newest(self.topic, self.partition)
-        finally:
-            del self.applied_during_load[number]
-        if number < self.newest_load:
+        load = self._begin_or_continue_load()
+        await self._read_pages(load, client)
+        if load.number < self.newest_load:
             # The state is that of a load which began later.
             return
-        self.newest_load = number
+        self.newest_load = load.number
+        if self.paused_load is not None:
+            self.loads.remove(self.paused_load)
+            self.paused_load = None
         self.fold.clear()
-        for record in sorted(newest.records, key=self.fold.load_order):
+        for record in sorted(load.records, key=self.fold.load_order):
             self.fold.apply_stored(record)
-        self.next_offset = max(newest.end, self.next_offset or 0)
-        self.caught_up_at = max(self.caught_up_at, started_at)
+        self.next_offset = max(load.next_offset, self.next_offset or 0)
+        self.caught_up_at = max(self.caught_up_at, load.caught_up_at)
         logger.info(
             "topic loaded",
             topic=self.topic,
             partition=self.partition,
-            records=len(newest.records),
-            next_offset=newest.end,
-            seconds=round(anyio.current_time() - started_at, 3),
+            records=len(load.records),
+            next_offset=load.next_offset,
+            seconds=round(anyio.current_time() - load.started_at, 3),
         )
-        self.apply(applied)
+        self.apply(load.sorted_changes())
 
     async def _read(self, client, max_wait):
         started_at = anyio.current_time()
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -64,7 +64,7 @@
       a report that doesn't list it shows that it is lost; ``None`` while its start is
       unanswered.
     - ``unanswered_starts`` are the runs whose start was sent and that the worker may
-      still start: no answer, stop or end has shown otherwise.
+      still start: no answer, stop, end or later report has shown otherwise.
     - ``start_times`` maps the runs whose start is unanswered to the ``boot_time`` at
       which it was queued, and may still hold others.
     - ``listed_runs`` are the runs in progress in the last report, ``working_since`` the
@@ -85,6 +85,8 @@
       next report.
     - ``may_have_restarted`` is set from any unanswered or overdue ``hold`` call to the
       next report: another incarnation, with ends of its own, may answer the next call.
+    - ``order_seen_at`` is the ``boot_time`` since when an order to the worker's host is
+      known that ends the worker.
     - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
       flight on the first connection is overdue, ``None`` without such a call.
     - ``unanswered_calls`` is the number of calls without an answer since the last one
@@ -93,10 +95,13 @@
 
     ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
     ``notify`` is called when there are ends, losses or refusals to process,
+    ``end_control`` when the worker refuses the epoch as superseded,
     ``is_startable(task_id)`` returns whether a placed task may still start,
-    ``count_repeat(order)`` is called before an unanswered start is sent again,
-    ``is_leaving(worker_id)`` returns whether a worker is known to be going away, and
-    ``watch`` is the ``LinkWatch`` of the pool.
+    ``count_repeat(order)`` is called before an unanswered start is sent again and
+    returns the seconds to wait before,
+    ``is_leaving(worker_id)`` returns whether a worker is known to be going away,
+    ``watch`` is the ``LinkWatch`` of the pool and ``permission`` the
+    ``LeasePermission`` of its controller.
     """
 
     def __init__(
@@ -105,10 +110,12 @@
         make_client,
         lease,
         notify,
+        end_control,
         is_startable,
         count_repeat,
         is_leaving,
         watch,
+        permission,
     ):
         self.entry = entry
         self.hold_client = make_client(entry)
@@ -116,10 +123,12 @@
         self.order_clients = [make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)]
         self.lease = lease
         self.notify = notify
+        self.end_control = end_control
         self.is_startable = is_startable
         self.count_repeat = count_repeat
         self.is_leaving = is_leaving
         self.watch = watch
+        self.permission = permission
         self.runs = {}
         self.unanswered_starts = set()
         self.start_times = {}
@@ -151,6 +160,7 @@
         self.clock = None
         longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
         self.leased_until = boot_time() + longest
+        self.order_seen_at = None
         self.no_starts_until = 0.0
         self.report_count = 0
 
@@ -178,7 +188,8 @@
         the lease of an unreachable worker has to expire before its tasks may start
         elsewhere. It is also ``None`` while the worker may start a freed run, whose
         task may be in progress elsewhere: a start that comes late is refused only
-        once the worker's lease has expired.
+        once the worker's lease has expired. And it is ``None`` without the permission
+        to extend leases, as another controller may rely on their end.
         """
         if not self._may_extend_lease():
             return None
@@ -187,7 +198,8 @@
 
     def _may_extend_lease(self):
         is_reachable = self.clock is not None and not self.last_hold_failed
-        return is_reachable and self.unanswered_starts <= self.runs.keys()
+        is_settled = self.unanswered_starts <= self.runs.keys()
+        return is_reachable and is_settled and self.permission.is_given()
 
     def extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
@@ -280,15 +292,18 @@
             delay = boot_time() - sent_at - wait
             if delay >= 0.0:
                 self.overdue_delay.record_answer(delay)
-            if not self._is_outdated(report):
+            if not self._is_outdated(report, sent_at):
                 self._apply_report(report, sent_at)
 
-    def _is_outdated(self, report):
-        """Return whether a report was overtaken by one on the other connection."""
+    def _is_outdated(self, report, sent_at):
+        """Return whether a report was overtaken by one on the other connection.
+
+        The start of a later incarnation may seem earlier, as a host's clock may jump.
+        """
         if self.clock is None:
             return False
         if report.born != self.born:
-            return report.born < self.born
+            return sent_at < self.last_report_at
         return report.clock < self.clock[0]
 
     def _record_no_response(self, reason):
@@ -310,16 +325,30 @@
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
 
+    def is_ended_by_order(self, now):
+        """Return whether the worker has ended, as its host was ordered by ``now``.
+
+        A worker that has reported since is a later incarnation: an order that was
+        carried out before is accepted again and ends nothing.
+        """
+        if self.order_seen_at is None:
+            self.order_seen_at = now
+        reported_at = self.last_report_at or 0.0
+        return self.last_hold_failed and reported_at <= self.order_seen_at
+
     def handle_refusal(self, error):
         """Log a refused call; one that was refused as superseded ends the link."""
         if error.reason is Refusal.FENCED:
-            logger.warning(
-                "worker refused the epoch as superseded", worker=self.entry.id
-            )
-            self.is_fenced = True
+            self.mark_fenced()
         else:
             logger.info("hold call refused", worker=self.entry.id, reason=str(error))
 
+    def mark_fenced(self):
+        """Record that another controller has called the worker under a later epoch."""
+        logger.warning("worker refused the epoch as superseded", worker=self.entry.id)
+        self.is_fenced = True
+        self.end_control()
+
     def _apply_report(self, report, sent_at):
         """Apply a report that was requested at ``sent_at``."""
         if report.born != self.born:
@@ -329,6 +358,7 @@
         if self.last_hold_failed:
             silent = round_seconds(boot_time() - self.silent_since)
             logger.info("worker answers again", worker=self.entry.id, silent=silent)
+        self.permission.record_report(self.entry.id)
         self.clock = (report.clock, boot_time())
         self.last_report_at = boot_time()
         self.last_hold_failed = self.may_have_restarted = False
@@ -343,13 +373,27 @@
             self.record_no_later_start(*key)
         self.ends.update((end.number, end) for end in new_ends)
         for key, counted_from in list(self.runs.items()):
-            is_counted = counted_from is not None and counted_from < sent_at
-            if is_counted and key not in self.listed_runs and key not in ended:
-                self.lost_runs.append(key)
+            if counted_from is None or counted_from >= sent_at:
+                continue
+            if key in self.listed_runs:
+                self.unanswered_starts.discard(key)
+            elif key not in ended:
+                self._record_unlisted(key)
         had_answered, self.has_answered = self.has_answered, True
         if new_ends or self.lost_runs or not had_answered:
             self.notify()
 
+    def _record_unlisted(self, key):
+        """Record a run as lost, once the worker can't start it any more.
+
+        A worker that restarted since it listed the run may still carry out a start.
+        """
+        if key not in self.unanswered_starts:
+            self.lost_runs.append(key)
+        elif key not in self.stops:
+            self.stops[key] = boot_time()
+            self.stop_before_others(*key)
+
     def record_no_later_start(self, task, run):
         """Record that the worker will not start ``run`` of a task or an earlier one."""
         self.unanswered_starts = {
@@ -410,15 +454,34 @@
         self.orders.appendleft(StopOrder(task, run))
         self.order_added.notify()
 
+    def expect_late_starts(self, keys):
+        """Stop runs that an earlier link may have started and that were freed since.
+
+        Until that is answered, no call of this link extends the lease either.
+        """
+        self.unanswered_starts.update(keys)
+        for task, run in keys:
+            self.stop_before_others(task, run)
+
     def record_started(self, key):
+        """Record that the start of a run was answered."""
+        self.unanswered_starts.discard(key)
+        self.await_reports(key)
+
+    def await_reports(self, key):
         """Let the reports show from now on whether a run is lost.
 
         Its end may already be recorded, if a report came before the answer.
         """
-        self.unanswered_starts.discard(key)
         if key in self.runs:
             self.runs[key] = boot_time()
 
+    def record_stopped(self, task, run):
+        """Record that the stop of a run was answered; it can't start any more."""
+        self.record_no_later_start(task, run)
+        if self.runs.get((task, run)) is not None:
+            self.await_reports((task, run))
+
     def drop_run(self, key):
         """Drop a run that has ended or was freed."""
         self.runs.pop(key, None)
