--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -34,7 +34,7 @@
     ``timeout`` limits each complete exchange, in seconds, unless stated otherwise. The
     connection is closed after a failure, so that a late answer can't be taken for that
     of a later request. ``on_open()`` is called for each connection that is opened, and
-    ``on_answer(target, response)`` for each complete answer that ``send`` returns.
+    ``on_answer(target, headers, length)`` for each complete answer.
     """
 
     def __init__(self, address, timeout, on_open=None):
@@ -77,6 +77,10 @@
             method, url, headers=[host, *headers], content=body
         )
 
+    def _tell_answer(self, target, response, content):
+        if self.on_answer is not None:
+            self.on_answer(target, response.headers, len(content))
+
     async def request(self, method, target, body=b"", headers=(), timeout=None):
         """Send a request and return the status and the body of the answer.
 
@@ -96,9 +100,8 @@
             self._exchange(timeout),
             await self._stream(method, target, headers, body) as response,
         ):
-            await response.aread()
-        if self.on_answer is not None:
-            self.on_answer(target, response)
+            content = await response.aread()
+        self._tell_answer(target, response, content)
         return response
 
     async def download(self, target, timeout=None):
@@ -117,7 +120,9 @@
             async for part in response.aiter_stream():
                 parts.append(part)
                 scope.deadline = anyio.current_time() + self.timeout
-        return response.status, b"".join(parts)
+        content = b"".join(parts)
+        self._tell_answer(target, response, content)
+        return response.status, content
 
     @contextlib.asynccontextmanager
     async def _exchange(self, timeout):
--- a/azurelanding/platform/traffic.py
+++ b/azurelanding/platform/traffic.py
@@ -12,13 +12,15 @@
 HOST_CALLS = {"machines": "list", "machine-move": "move", "machine-upkeep": "maintain"}
 
 
-def answer_bytes(response):
-    """Return the length of an answer with its headers."""
-    headers = sum(
-        len(name) + len(value) + HEADER_SEPARATOR_BYTES
-        for name, value in response.headers
+def answer_bytes(headers, length):
+    """Return the length of an answer with ``headers`` and a body of ``length``."""
+    return (
+        STATUS_LINE_BYTES
+        + length
+        + sum(
+            len(name) + len(value) + HEADER_SEPARATOR_BYTES for name, value in headers
+        )
     )
-    return STATUS_LINE_BYTES + headers + len(response.content)
 
 
 def store_call(target):
@@ -41,9 +43,9 @@
 def _counting(make_client, peer, name_call, metrics):
     """Return ``make_client`` with clients that count what they receive."""
 
-    def on_answer(target, response):
+    def on_answer(target, headers, length):
         name = f"{peer}_received_bytes_{name_call(target)}"
-        metrics.count(name, answer_bytes(response))
+        metrics.count(name, answer_bytes(headers, length))
 
     def make_counting_client(*arguments):
         client = make_client(*arguments)
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -86,6 +86,7 @@
             client = clients.make_store()
             await client.read("workers", 0, 0)
             await client.owners("g")
+            await client.newest("jobs", 1)
             await client.close()
             hosts = clients.make_hosts("e")
             await hosts.list_hosts()
@@ -97,7 +98,8 @@
             for line in metrics.text().decode().splitlines()
             if "_received_bytes_" in line and line.split()[0].endswith("_total")
         )
-        calls = ("store_received_bytes_read_workers", "store_received_bytes_owners")
+        kinds = ("read_workers", "owners", "newest_jobs")
+        calls = [f"store_received_bytes_{kind}" for kind in kinds]
         names = [
             f"azurelanding_{c}_total" for c in (*calls, "hosts_received_bytes_list")
         ]
