--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -101,6 +101,11 @@
 
         return anyio.run(main)
 
+    def test_unanswered_start_is_repeated_less_and_less_often(self):
+        client, started_at = ScriptedClient(*[unanswered()] * 4), boot_time()
+        self.start(client)
+        self.assertGreater(boot_time() - started_at, 0.15 + 0.3 + 0.6 + 0.6)
+
     def test_unanswered_start_is_repeated(self):
         client = ScriptedClient(unanswered(), unanswered())
         link = self.start(client)
