--- a/azurelanding/standins/site.py
+++ b/azurelanding/standins/site.py
@@ -25,9 +25,8 @@
 
 LOOPBACK = "127.0.0.1"
 CLIENT_TIMEOUT_SECONDS = 30.0
-READY_TIMEOUT_SECONDS = 60.0
-"""Longest wait for a process that runs. Each start imports for a second of processor
-time, several processes at once; one that has ended is not waited for."""
+READY_TIMEOUT_SECONDS = 20.0
+"""Longest wait for a process that runs; one that has ended is not waited for."""
 STOP_TIMEOUT_SECONDS = 20.0
 ABORT_TIMEOUT_SECONDS = 2.0
 POLL_INTERVAL_SECONDS = 0.05
