Limit how long a read of the store may stall, not how long it takes

What callers saw: 503 for the states of jobs, and jobs that were controlled late, on a daemon behind a thin link that had records of several streams to catch up on: after the store was down, or after the host was suspended or cut off.

Cause: the answer to a read had 1.2 s to arrive whole, and its size was chosen for the time that it takes alone on the link. A daemon follows a stream for each pool, and those of the configuration, the workers and the fleet. When it is behind in all of them, the answers share the link, all of them time out, and all are read again from the start. The pages of newest records took turns already; reads did not.

Evidence: found in review. The new test reads eight streams of 63 KB at once over 2 Mbit/s; before the change it failed with StoreNoResponseError: log-read, TimeoutError.

Why this works: while an answer arrives, however slowly, nothing is thrown away. A silent connection is still found, as an answer has to begin in time and may stall for 1.2 s. The same holds for pages of newest records, which share the link with the reads.

--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's store: a log with topics and partitions."""
 
 import base64
+import contextlib
 import http
 import struct
 import urllib.parse
@@ -96,6 +97,20 @@
         raise StoreNoResponseError(f"{call}: {error}") from error
 
 
+def _target(name, query):
+    return f"/v1/{name}?{urllib.parse.urlencode(query)}" if query else f"/v1/{name}"
+
+
+@contextlib.contextmanager
+def _store_errors(name):
+    """Raise what went wrong in the call ``name`` as a ``StoreError``."""
+    try:
+        yield
+    except HttpClientError as error:
+        error_class = StoreNoResponseError if error.sent else StoreRefusedError
+        raise error_class(f"{name}: {error}") from error
+
+
 def make_page_turns():
     """Return the semaphore by which the loads of a daemon share its link."""
     return anyio.Semaphore(LOADS_AT_ONCE)
@@ -108,8 +123,9 @@
     raise ``StoreRefusedError`` when they certainly had no effect and
     ``StoreNoResponseError`` when that is not known.
 
-    ``max_kilobytes`` limits the answer to one read, and ``page_timeout`` is the timeout
-    in seconds of one page of newest records, whose length the store chooses.
+    ``max_kilobytes`` limits the answer to one read, and ``page_timeout`` is the longest
+    wait in seconds for one page of newest records, whose length the store chooses, to
+    begin.
     ``append_rate`` is the rate in bytes per second at which an append crosses the
     link, or ``None``. ``page_turns`` is a semaphore that limits the pages read at once.
     """
@@ -144,15 +160,20 @@
         return cls(connection, max_kilobytes, page_timeout, append_rate, page_turns)
 
     async def _call(self, method, name, query, body=b"", timeout=CALL_TIMEOUT_SECONDS):
-        target = (
-            f"/v1/{name}?{urllib.parse.urlencode(query)}" if query else f"/v1/{name}"
-        )
         headers = (("Content-Type", "application/json"),) if body else ()
-        try:
-            return await self.connection.request(method, target, body, headers, timeout)
-        except HttpClientError as error:
-            error_class = StoreNoResponseError if error.sent else StoreRefusedError
-            raise error_class(f"{name}: {error}") from error
+        with _store_errors(name):
+            return await self.connection.request(
+                method, _target(name, query), body, headers, timeout
+            )
+
+    async def _download(self, name, query, timeout):
+        """Get records; ``timeout`` limits the wait for the answer to begin.
+
+        Streams that are read at once share the host's link, so how long an answer takes
+        depends on the others.
+        """
+        with _store_errors(name):
+            return await self.connection.download(_target(name, query), timeout)
 
     async def append(self, topic, partition, records, producer, sequence):
         """Append pairs of key and value and return the offset of the first.
@@ -211,7 +232,7 @@
             "waitMs": int(wait * 1000),
         }
         timeout = CALL_TIMEOUT_SECONDS + wait
-        status, content = await self._call("GET", "log-read", query, timeout=timeout)
+        status, content = await self._download("log-read", query, timeout)
         if status == http.HTTPStatus.GONE:
             first = _decode_json(content, "log-read").get("first", start)
             raise OffsetOutOfRangeError(
@@ -239,8 +260,8 @@
         if after is not None:
             query["after"] = after
         async with self.page_turns:
-            status, content = await self._call(
-                "GET", "log-newest", query, timeout=self.page_timeout
+            status, content = await self._download(
+                "log-newest", query, self.page_timeout
             )
         if status == http.HTTPStatus.NOT_FOUND:
             return ReadRecords((), 0)
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -134,6 +134,38 @@
 
         serve(app, scenario)
 
+    def test_streams_that_are_read_at_once_over_a_thin_link_arrive(self):
+        # Each answer alone was short enough; together all of them timed out for ever.
+        model, producer, link_rate = StoreModel(), Producer("p", 1), 250_000.0
+        rows = [(f"job/{number}", b"x" * 7_000) for number in range(9)]
+        link, piece_size, found = anyio.Lock(), 8_192, []
+
+        async def app(scope, receive, send):
+            async def send_over_link(message):
+                body = message.get("body", b"")
+                for begin in range(0, len(body), piece_size):
+                    piece = body[begin : begin + piece_size]
+                    async with link:
+                        await anyio.sleep(len(piece) / link_rate)
+                    await send({**message, "body": piece, "more_body": True})
+                await send({**message, "body": b""} if body else message)
+
+            await model.app(scope, receive, send_over_link)
+
+        async def read(client, partition):
+            found.append(await client.read("jobs", partition, 0))
+            await client.close()
+
+        async def scenario(address):
+            async with anyio.create_task_group() as task_group:
+                for partition in range(8):
+                    model.partitions["keyed.jobs", partition].append(rows, producer, 1)
+                    client = StoreClient.from_config(StoreSettings(address), link_rate)
+                    task_group.start_soon(read, client, partition)
+
+        serve(app, scenario)
+        self.assertEqual([9] * 8, [len(batch.records) for batch in found])
+
     def test_pages_of_many_loads_take_turns(self):
         # More of them than the timeout of a page allows for all timed out.
         model, running, seen = StoreModel(), [], []
