Let the timeout of appends follow the store's answers, up to its queue

What callers saw: late jobs, and 503 or 504 for submissions, while the store was slow: its partitions then take so long for each append that those of several daemons wait.

Cause: an append had 1.2 s for its answer. The store carries out the appends to a partition one at a time, and refuses further ones only once more than 2 s are waiting. Each daemon that accepts jobs of a pool appends to its partition, and so does its controller.

The new test failed before with "4 not greater than 25.0", where the store can carry out 50.

Why this works: a daemon waits longer once an answer was late, up to the longest wait that the store allows plus its slowest answer, so nothing that the store still answers is sent again. After a quick answer the timeout is 1.2 s again, so that lost answers and silent connections are found early. Refusals don't change it, as they are immediate.

--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -9,17 +9,20 @@
 import anyio
 import msgspec
 
+from azurelanding.answer_timeout import AnswerTimeout
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.store import (
     Membership,
     OffsetOutOfRangeError,
     ReadRecords,
     StoredRecord,
+    StoreError,
     StoreFencedError,
     StoreNoResponseError,
     StoreRefusedError,
     StoreSequenceError,
 )
+from azurelanding.utils import boot_time
 
 BYTES_PER_KILOBYTE = 1024
 RECORD_LENGTH = struct.Struct(">I")
@@ -28,6 +31,9 @@
 CALL_TIMEOUT_SECONDS = 1.2
 """Timeout of a call; longer than the slowest answers of a store that is 60 times
 slower than its usual 4 ms."""
+APPEND_QUEUE_SECONDS = 2.0
+"""Longest time for which appends wait at the store for others to the same partition;
+it refuses those that would wait longer."""
 JOIN_TIMEOUT_SECONDS = 0.5
 """Timeout of a join, and of a read of the holders before it; less than half of the
 shortest membership that is requested, so that a join whose answer is lost can be
@@ -138,6 +144,9 @@
         self.max_kilobytes = max_kilobytes
         self.page_timeout = page_timeout
         self.page_turns = page_turns
+        self.append_timeout = AnswerTimeout(
+            CALL_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS + APPEND_QUEUE_SECONDS
+        )
 
     @classmethod
     def from_config(cls, settings, link_rate=None, page_turns=None):
@@ -192,10 +201,7 @@
             "sequence": sequence,
         }
         body = b"".join(encode_keyed_record(key, value) for key, value in records)
-        timeout = CALL_TIMEOUT_SECONDS
-        if self.append_rate is not None:
-            timeout += len(body) / self.append_rate
-        status, content = await self._call("POST", "log-append", query, body, timeout)
+        status, content = await self._send_append(query, body)
         if status == http.HTTPStatus.OK:
             answer = _decode_json(content, "log-append")
             return answer.get("offset", answer.get("end"))
@@ -211,6 +217,22 @@
             f"log-append refused with status {status}: {content[:200]}"
         )
 
+    async def _send_append(self, query, body):
+        """Send an append; its timeout follows how long the last ones took."""
+        transfer = 0.0 if self.append_rate is None else len(body) / self.append_rate
+        waited, sent_at = self.append_timeout.seconds, boot_time()
+        try:
+            status, content = await self._call(
+                "POST", "log-append", query, body, waited + transfer
+            )
+        except StoreError as error:
+            if error.__cause__.timed_out:
+                self.append_timeout.record_no_answer(waited)
+            raise
+        if status == http.HTTPStatus.OK:
+            self.append_timeout.record_answer(boot_time() - sent_at - transfer)
+        return status, content
+
     async def read(self, topic, partition, start, wait=0.0):
         """Return the ``ReadRecords`` from offset ``start`` on.
 
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -6,11 +6,12 @@
 import msgspec
 import testtools
 
+from azurelanding.appender import Appender
 from azurelanding.http_client import HttpClient
 from azurelanding.http_server import HttpServer, send_reply
 from azurelanding.job_service import Acceptance, StateUnknownError
 from azurelanding.jobs import JobPhase
-from azurelanding.platform import callers
+from azurelanding.platform import callers, store
 from azurelanding.platform.main import CallerLimits, make_service_clients
 from azurelanding.platform.store import LOADS_AT_ONCE, StoreClient
 from azurelanding.platform.traffic import count_received
@@ -208,6 +209,39 @@
 
         serve(app, scenario)
 
+    def test_appends_that_wait_for_those_of_other_daemons_are_answered(self):
+        # All timed out, and the repeats waited behind what they had given up.
+        self.patch(store, "CALL_TIMEOUT_SECONDS", 0.3)
+        self.patch(store, "APPEND_QUEUE_SECONDS", 0.5)
+        model, partition, append_seconds, stored = StoreModel(), anyio.Lock(), 0.06, []
+
+        async def app(scope, receive, send):
+            message = await receive()
+
+            async def received():
+                return message
+
+            async with partition:
+                await anyio.sleep(append_seconds)
+                await model.app(scope, received, send)
+
+        async def append_for_ever(address, number):
+            client = StoreClient.from_config(StoreSettings(address))
+            appender = Appender("jobs", 1, client, Producer(f"daemon-{number}", 1))
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(appender.run)
+                while True:
+                    stored.append(await appender.append((("key", b"value"),), 10.0))
+
+        async def scenario(address):
+            with anyio.move_on_after(3.0):
+                async with anyio.create_task_group() as task_group:
+                    for number in range(8):
+                        task_group.start_soon(append_for_ever, address, number)
+
+        serve(app, scenario)
+        self.assertGreater(len(stored), 3.0 / append_seconds / 2)
+
     def test_record_longer_than_the_limit_of_a_read_is_read(self):
         # A follower on a thin link would never get past it.
         async def app(scope, receive, send):
