Walk the hosts of a wave once in each pass of the fleet controller

What callers saw: nothing on sites of 350 hosts. On one of 17,569 with a wave of half of them, the daemon that manages the hosts would not answer callers, keep its memberships or extend leases for seconds, four times a second: its pools and the role move from daemon to daemon, and tasks end with their leases.

Cause: each host of a wave was searched in the tuple of those that have begun, twice in a pass, and for each host that may be ordered all hosts of the wave were looked at.

Evidence: found in review, by measurement on this machine. With 17,569 hosts, 9,136 of them in the wave: choosing hosts took 0.69 s half-way and 0.91 s near the end, looking for its completion up to 0.81 s, and each plan that may be ordered 4.5 ms, 4 s for 900. The new tests count how often the hosts are walked; they failed before with 20 walks in place of 1, and 31 in place of 2.

Why this works: the hosts that have begun are a set while they are searched, and those in maintenance are collected once for each wave and pass, with each order of the pass added. A host whose order was refused as busy also counts until the next pass, as it did before.

--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -313,10 +313,17 @@
         is_late = boot_time() > begun + wave.duration * LATE_WAVE_SHARE
         return DRAIN_TIMEOUT_SECONDS / 4 if is_late else DRAIN_TIMEOUT_SECONDS
 
-    def _wave_allows_order(self, plan):
-        """Return whether a wave allows one more host in maintenance."""
+    def _wave_allows_order(self, plan, in_maintenance):
+        """Return whether a wave allows one more host in maintenance.
+
+        ``in_maintenance`` maps the waves asked about to their hosts in maintenance.
+        """
         wave = self.daemon.operator.waves.get(plan.wave)
-        return wave is None or len(self._hosts_in_maintenance(wave)) < wave.at_once
+        if wave is None:
+            return True
+        if wave.number not in in_maintenance:
+            in_maintenance[wave.number] = self._hosts_in_maintenance(wave)
+        return len(in_maintenance[wave.number]) < wave.at_once
 
     def _hosts_in_maintenance(self, wave):
         """Return the hosts of a wave that are, or may be, in maintenance."""
@@ -337,21 +344,25 @@
 
     async def _execute_plans(self, placed, epoch):
         """Send the orders that are due, then record them in one append."""
-        ordered = []
+        ordered, in_maintenance = [], {}
         try:
             for plan in self.fold.pending().values():
-                if self._is_order_due(plan, placed) and await self._order(plan, epoch):
+                if not self._is_order_due(plan, placed, in_maintenance):
+                    continue
+                if plan.wave in in_maintenance:
+                    in_maintenance[plan.wave].add(plan.host)
+                if await self._order(plan, epoch):
                     ordered.append(plan)
         finally:
             await self._record_orders(ordered)
 
-    def _is_order_due(self, plan, placed):
+    def _is_order_due(self, plan, placed, in_maintenance):
         return (
             plan.host in self.hosts
             and self._is_past_holder_pause(plan.host)
             and boot_time() >= self.busy_until.get(plan.host, 0.0)
             and self._is_drain_over(plan, placed)
-            and self._wave_allows_order(plan)
+            and self._wave_allows_order(plan, in_maintenance)
         )
 
     async def _order(self, plan, epoch):
@@ -387,9 +398,9 @@
     async def _finish_wave(self, wave):
         """Complete a wave once each host that still exists has had its maintenance."""
         progress = self.fold.progress(wave.number)
-        now = boot_time()
+        begun, now = frozenset(progress.begun), boot_time()
         for name in wave.hosts:
-            if name in progress.begun:
+            if name in begun:
                 continue
             if name in self.hosts:
                 self.missing_since.pop(name, None)
--- a/azurelanding/host_choice.py
+++ b/azurelanding/host_choice.py
@@ -12,11 +12,8 @@
 
 def hosts_not_begun(wave, progress, hosts):
     """Return the hosts of a wave whose maintenance has not begun."""
-    return [
-        hosts[name]
-        for name in wave.hosts
-        if name in hosts and name not in progress.begun
-    ]
+    begun = frozenset(progress.begun)
+    return [hosts[name] for name in wave.hosts if name in hosts and name not in begun]
 
 
 def count_in_maintenance(wave, hosts):
--- a/azurelanding/tests/test_fleet_controller.py
+++ b/azurelanding/tests/test_fleet_controller.py
@@ -2,15 +2,19 @@
 
 import time
 import types
+from unittest import mock
 
+import anyio
 import testtools
 
-from azurelanding import fleet_records
+from azurelanding import fleet_records, host_choice
+from azurelanding.configuration import WaveRequest
 from azurelanding.fleet_controller import HOLDER_PAUSE_MARGIN_SECONDS, FleetController
 from azurelanding.fleet_fold import FleetFold
-from azurelanding.fleet_records import HostPlan
+from azurelanding.fleet_records import HostPlan, WaveProgress
 from azurelanding.site import Site, StoreSettings, Timing
 from azurelanding.store import StoredRecord
+from azurelanding.tests.test_fleet_choices import make_hosts
 from azurelanding.utils import MAX_CLOCK_SKEW_SECONDS, boot_time
 
 PAUSE_SECONDS = 3.0
@@ -94,3 +98,60 @@
         self.assertEqual(["a"], list(controller.fold.pending()))
         apply_plan(controller, "a", 1.0, is_dropped=True)
         self.assertEqual([], list(controller.fold.pending()))
+
+
+class CountingTuple(tuple):
+    """Names of hosts; ``walks`` counts how often they were walked or searched."""
+
+    def __new__(cls, names):
+        names = super().__new__(cls, names)
+        names.walks = 0
+        return names
+
+    def __iter__(self):
+        self.walks += 1
+        return super().__iter__()
+
+    def __contains__(self, name):
+        self.walks += 1
+        return super().__contains__(name)
+
+
+class LargeWaveTest(testtools.TestCase):
+    """A wave of half of a large fleet, during which the event loop must not stop."""
+
+    def make_controller(self, wave, hosts):
+        """Return a fleet controller whose hosts of a wave are all drained."""
+        controller = make_controller()
+        daemon = controller.daemon
+        daemon.operator = types.SimpleNamespace(waves={wave.number: wave})
+        daemon.standby_pools = set
+        daemon.vacated = lambda pool: {host.worker for host in hosts.values()}
+        daemon.metrics = mock.Mock()
+        daemon.fleet_follower = mock.Mock()
+        controller.member = mock.Mock(is_valid=True, **{"epoch_of.return_value": 1})
+        controller.appender = mock.Mock(append=mock.AsyncMock(return_value=0))
+        controller.client = mock.Mock(maintain=mock.AsyncMock())
+        controller.hosts = hosts
+        for name, host in hosts.items():
+            controller.fold.plans[name] = HostPlan(name, host.worker, 1.0, wave=1)
+        return controller
+
+    def test_hosts_of_a_wave_are_walked_once_for_all_orders(self):
+        hosts = make_hosts({"a": 20})
+        wave = WaveRequest(1, CountingTuple(hosts), 30.0, 5)
+        controller = self.make_controller(wave, hosts)
+        anyio.run(controller._execute_plans, {}, 1)
+        self.assertEqual(5, controller.client.maintain.await_count)
+        self.assertEqual(1, wave.hosts.walks)
+
+    def test_hosts_that_have_begun_are_not_searched_for_each_host(self):
+        hosts = make_hosts({"a": 20})
+        wave = WaveRequest(1, tuple(hosts), 30.0, 5)
+        begun = CountingTuple(list(hosts)[:10])
+        found = host_choice.hosts_not_begun(wave, WaveProgress(1, begun), hosts)
+        self.assertEqual(10, len(found))
+        controller = self.make_controller(wave, hosts)
+        controller.fold.waves[1] = WaveProgress(1, begun)
+        anyio.run(controller._finish_wave, wave)
+        self.assertEqual(2, begun.walks)
