Request a page of the host list again rather than the whole list

What callers saw: nothing on sites whose list has a few pages. On one of 18,000 hosts no host would ever be moved or maintained, so pools would stay short and waves undone.

Cause: a page that was refused or late ended the list, and the next attempt, a quarter of a second later, began with the first page. The API takes a limited number of readings a second from all daemons together, 64 or 215 on the sites that we know.

Why this works: what was read is kept, and a page after the first is requested up to four times more, with growing delays that together outlast the second of the limit. The first page is not repeated, as nothing is lost with it, so an API that is down is noticed as early as before.

--- a/azurelanding/platform/hosts.py
+++ b/azurelanding/platform/hosts.py
@@ -6,6 +6,7 @@
 import http
 import urllib.parse
 
+import anyio
 import msgspec
 import structlog
 
@@ -18,6 +19,9 @@
 
 CALL_TIMEOUT_SECONDS = 1.0
 """Timeout of an API call; a few hundred times the usual response time."""
+PAGE_RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)
+"""Delays in seconds before a page of the host list is requested again; together longer
+than the second for which the API limits the number of readings."""
 HOST_PHASES = {
     "up": HostPhase.UP,
     "moving": HostPhase.MOVING,
@@ -66,17 +70,35 @@
         except msgspec.DecodeError as error:
             raise HostCallError(f"{target}: {error}") from error
 
+    async def _page(self, token):
+        """Return one page of the host list."""
+        query = f"?{urllib.parse.urlencode({'pageToken': token})}" if token else ""
+        status, page = await self._call("GET", f"/v1/machines{query}")
+        if status != http.HTTPStatus.OK:
+            raise HostCallError(f"the host list was refused with status {status}")
+        return page
+
+    async def _repeated_page(self, token):
+        """Return a page after the first, which is requested again if it is not served.
+
+        A long list would otherwise never be complete, as each attempt uses up the
+        readings that the API allows.
+        """
+        for delay in PAGE_RETRY_DELAYS:
+            try:
+                return await self._page(token)
+            except HostCallError as error:
+                logger.info("page of the host list not read", reason=str(error))
+                await anyio.sleep(delay)
+        return await self._page(token)
+
     async def list_hosts(self):
         """Return the ``HostEntry`` of each host, by name.
 
         Raises ``HostCallError``.
         """
-        hosts, token = {}, ""
+        hosts, page = {}, await self._page("")
         while True:
-            query = f"?{urllib.parse.urlencode({'pageToken': token})}" if token else ""
-            status, page = await self._call("GET", f"/v1/machines{query}")
-            if status != http.HTTPStatus.OK:
-                raise HostCallError(f"the host list was refused with status {status}")
             for row in page.get("machines", ()):
                 host = decode_host(row)
                 if host is not None:
@@ -84,6 +106,7 @@
             token = page.get("nextPageToken") or ""
             if not token:
                 return hosts
+            page = await self._repeated_page(token)
 
     async def _order(self, name, values, epoch):
         headers = (
