Repeat reads that the store refuses no sooner than others

On a site of 180 daemons, 503 for the states of jobs without an end: all daemons together may read a limited number of times a second.

Cause: a daemon reads the stream of a pool that it doesn't control every 0.8 s, but after a refused read every 0.2 s. By calculation, 180 daemons with 16 partitions read 3,600 times a second, and 14,400 times once refused.

Evidence: found in review. The new test failed before with "9 not less than or equal to 4".

Why this works: a refused read waits as long as the next one would have. A stream that was not loaded yet and one that is controlled here are still retried after 0.2 s, so takeovers and starts of daemons take no longer; what callers ask for is read when they ask.

--- a/azurelanding/tests/test_topic_follower.py
+++ b/azurelanding/tests/test_topic_follower.py
@@ -148,6 +148,46 @@
         self.assertEqual(sorted(applied), sorted(read))
 
 
+class CallCountingClient(ModelClient):
+    """A client of the store that counts its reads, also those that are refused."""
+
+    reads = 0
+
+    async def read(self, *arguments):
+        self.reads += 1
+        return await super().read(*arguments)
+
+
+class RefusedReadTest(testtools.TestCase):
+    """Reads that the store refuses, as all daemons together read too often."""
+
+    def test_refused_reads_are_repeated_no_more_often_than_others(self):
+        model, counts = StoreModel(), []
+        client = CallCountingClient(model)
+
+        async def count_reads():
+            before = client.reads
+            await anyio.sleep(2.0)
+            counts.append(client.reads - before)
+
+        async def main():
+            follower = TopicFollower(
+                "jobs", 0, lambda: client, ListFold(), lambda: 0.6, 1.0
+            )
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(follower.run)
+                await anyio.sleep(0.2)
+                await count_reads()
+                model.knobs.refuse = True
+                await count_reads()
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        served, refused = counts
+        self.assertGreater(refused, 0)
+        self.assertLessEqual(refused, served + 1)
+
+
 class ReloadTest(testtools.TestCase):
     """A load while the records that it replaces are changed by this daemon."""
 
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -12,7 +12,8 @@
 SHARED_READ_DELAY_SECONDS = 0.5
 """Delay between reads from which on a follower takes turns with ``refresh``."""
 RETRY_DELAY_SECONDS = 0.2
-"""Delay after a failed read, so that a store that is down is not overloaded."""
+"""Shortest delay after a failed read, so that a store that is down is not overloaded;
+no read is repeated sooner than the next one would follow."""
 
 
 @attrs.define(eq=False)
@@ -224,6 +225,15 @@
         async with self.refresh_lock:
             await self._read_or_load(self.reader, 0.0)
 
+    def _retry_delay(self):
+        """Return the delay after a failed read, in seconds.
+
+        A store that is asked too often by all daemons together refuses reads. If these
+        were repeated sooner than those that succeed, it would go on refusing.
+        """
+        read_delay = self.read_delay() if self.is_loaded else 0.0
+        return max(RETRY_DELAY_SECONDS, read_delay)
+
     async def run(self):
         """Follow the partition until cancelled."""
         while True:
@@ -231,7 +241,7 @@
                 await self._read_next()
             except StoreError as error:
                 self._log_reachability(error)
-                await anyio.sleep(RETRY_DELAY_SECONDS)
+                await anyio.sleep(self._retry_delay())
                 continue
             self._log_reachability(None)
             delay = self.read_delay()
