Repeat refused appends less often than the store refuses them

What callers saw: nothing that was traced. While the store refuses appends, each of them is sent again ten times a second, each is charged, and when all daemons have some to send, those alone keep the store refusing: submissions answered with 503, and starts that wait, for longer than the store needs.

Cause: a fixed delay of 0.1 s before a repeat. The grown sites allow 1,200 writes a second from all daemons; 36 daemons with appends to five pools repeat 1,800.

The new test failed before with "20 not less than 13.33": calls in 2 s, where 13.33 is the share of one append.

Why this works: the first repeat comes after 0.1 s as before, so a single lost or refused append is not held up, and the others after 0.2 s, 900 a second from all. A longer delay was tried (0.4 s): it made test_append_without_response_is_retried_after_refusals fail, which expects an append within 0.3 s of the end of the refusals. On a site of 180 daemons the sum exceeds the limit again; there the number of daemons that append has to shrink.

--- a/azurelanding/appender.py
+++ b/azurelanding/appender.py
@@ -22,7 +22,10 @@
 logger = structlog.get_logger()
 
 RETRY_DELAY_SECONDS = 0.1
-"""Delay before an append is repeated."""
+"""Delay before the first repeat of an append."""
+LONGEST_RETRY_DELAY_SECONDS = 0.2
+"""Delay before further repeats. Those of 36 daemons to 5 pools are then no more than
+900 a second, below what the store takes from all of them."""
 MAX_BATCH_BYTES = 500_000
 """Limit of one append: a quarter of the store's limit, so that each append is fast."""
 
@@ -74,6 +77,7 @@
         self.arrivals = Notifier()
         self.fenced = None
         self.succeeded_at = -1.0
+        self.retry_delay = RETRY_DELAY_SECONDS
 
     async def append(self, records, max_wait):
         """Store pairs of key and value together and return the offset of the first.
@@ -127,7 +131,7 @@
             except StoreRefusedError as error:
                 if not may_be_stored:
                     self._requeue(batch, error)
-                    await anyio.sleep(RETRY_DELAY_SECONDS)
+                    await self._wait_to_retry()
                     return
             except StoreFencedError as error:
                 self._fail_fenced(batch, error, may_be_stored)
@@ -138,7 +142,13 @@
             else:
                 self._settle_stored(batch, offset)
                 return
-            await anyio.sleep(RETRY_DELAY_SECONDS)
+            await self._wait_to_retry()
+
+    async def _wait_to_retry(self):
+        """Wait longer after the first time, as repeats add to the load of the store."""
+        delay = self.retry_delay
+        self.retry_delay = min(LONGEST_RETRY_DELAY_SECONDS, 2.0 * delay)
+        await anyio.sleep(delay)
 
     async def _append(self, records):
         return await self.client.append(
@@ -148,13 +158,14 @@
     def _settle_stored(self, batch, offset):
         self.sequence += 1
         self.succeeded_at = anyio.current_time()
+        self.retry_delay = RETRY_DELAY_SECONDS
         for pending in batch:
             pending.settle(offset)
             offset += len(pending.records)
 
     def _requeue(self, batch, error):
         """Requeue the appends with a deadline after the retry, and fail the others."""
-        retry_at = anyio.current_time() + RETRY_DELAY_SECONDS
+        retry_at = anyio.current_time() + self.retry_delay
         for pending in batch:
             if pending.deadline <= retry_at:
                 pending.settle(error=NotStoredError(str(error)))
--- a/azurelanding/tests/test_appender.py
+++ b/azurelanding/tests/test_appender.py
@@ -56,6 +56,28 @@
 
         self.run_with(scenario)
 
+    def test_refused_appends_of_all_daemons_stay_below_what_the_store_takes(self):
+        # 36 daemons with appends to 5 pools each, of 1,200 writes a second.
+        most_per_second = 1_200 / (36 * 5)
+
+        async def scenario(appender, model):
+            model.knobs.refuse = True
+            calls = []
+            append = appender.client.append
+
+            async def counting_append(*arguments):
+                calls.append(arguments)
+                return await append(*arguments)
+
+            self.patch(appender.client, "append", counting_append)
+            with testtools.ExpectedException(NotStoredError):
+                await appender.append(RECORD, 2.0)
+            self.assertLess(len(calls), 2.0 * most_per_second)
+            model.knobs.refuse = False
+            self.assertEqual(0, await appender.append(RECORD, 1.0))
+
+        self.run_with(scenario)
+
     def test_append_without_response_is_retried_after_refusals(self):
         async def scenario(appender, model):
             model.knobs.delay_appends = 1
