Take no run for lost by a report that may leave out its end

A worker returns its unacknowledged ends 500 at a time. A run whose end was on a later page was neither in progress nor ended in the report, so it counted as lost and its task started again after it had ended as done. It takes more than 500 ends on one worker between two stored decisions, far more than the workers of the known sites hold; the limit is of one worker, so it does not come nearer with more of them.

A report now says whether it holds all ends, and only such a one shows that a run is lost. The ends that follow it are read as soon as the first ones are acknowledged.

The test failed before on a stand-in that returns two ends at a time: [1, 1, 1, 1, 1, 1] != [1, 1, 1, 1, 2, 2] starts.

--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -34,6 +34,8 @@
 order does no harm."""
 CALLS_PER_LEASE = 3
 """Number of unanswered calls within a lease, which gives their longest timeout."""
+MAX_ENDS_PER_REPORT = 500
+"""Number of ends that a worker returns at a time."""
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD_RUN,
@@ -103,11 +105,13 @@
 def decode_report(content):
     """Decode the answer to ``hold`` into a ``WorkerReport``."""
     values = msgspec.json.decode(content)
+    ends = tuple(map(_decode_end, values.get("finished", ())))
     return WorkerReport(
         clock=values["clockMs"] / MS_PER_SECOND,
         born=values.get("born", 0),
         runs=tuple(map(_decode_run, values.get("running", ()))),
-        ends=tuple(map(_decode_end, values.get("finished", ()))),
+        ends=ends,
+        has_all_ends=len(ends) < MAX_ENDS_PER_REPORT,
     )
 
 
--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -36,7 +36,8 @@
     progress and don't end.
     ``tail_latency_ms`` is the high percentile of response times, in milliseconds, that
     the worker reports for its runs while none is throttled; it is multiplied by the
-    lowest share in ``paces``. ``refuse`` refuses every call for that reason.
+    lowest share in ``paces``. ``refuse`` refuses every call for that reason. A report
+    has at most ``ends_per_report`` ends.
     """
 
     run_time: float = 0.05
@@ -50,6 +51,7 @@
     stalled: bool = False
     tail_latency_ms: float = 0.0
     refuse: Refusal | None = None
+    ends_per_report: int = 500
 
 
 class WorkerModel:
@@ -248,7 +250,9 @@
             ListedRun(*key, "", model.work_done_share(key), tail_latency_ms)
             for key in model.running
         )
-        return WorkerReport(boot_time(), model.incarnation, runs, tuple(model.ends))
+        limit = model.knobs.ends_per_report
+        ends, has_all_ends = tuple(model.ends[:limit]), len(model.ends) < limit
+        return WorkerReport(boot_time(), model.incarnation, runs, ends, has_all_ends)
 
     async def start(self, order, lease_end):
         """Start a run."""
--- a/azurelanding/tests/test_platform_wire.py
+++ b/azurelanding/tests/test_platform_wire.py
@@ -108,6 +108,12 @@
         self.assertEqual(TaskId("0123456789abcdef", 0, 1, 7), run.task)
         self.assertEqual((0.4, 1200), (run.work_share, run.measurement))
         self.assertEqual((58, RunEnd.DONE, "cp"), (end.number, end.end, end.checkpoint))
+        self.assertTrue(report.has_all_ends)
+
+    def test_report_with_as_many_ends_as_fit_may_not_have_all(self):
+        ends = [[n, f"0123456789abcdef.0.1.{n}", 1, "done", ""] for n in range(500)]
+        content = msgspec.json.encode({"clockMs": 5000, "finished": ends})
+        self.assertFalse(workers.decode_report(content).has_all_ends)
 
 
 class HostsTest(testtools.TestCase):
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -117,6 +117,18 @@
         world = self.run_site(scenario)
         self.assertEqual([1] * 6, list(count_starts(world, job).values()))
 
+    def test_ends_that_do_not_fit_into_one_report_start_no_task_twice(self):
+        job = make_job(steps=(make_step(6),))
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.ends_per_report = 2
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        world = self.run_site(scenario, workers=1)
+        self.assertEqual([1] * 6, list(count_starts(world, job).values()))
+
     def test_full_pool_is_not_searched_for_each_task_of_the_backlog(self):
         # Each search holds up the calls that extend the leases of the workers.
         filling = make_job("f" * 16, steps=(make_step(16, long_running=True),))
--- a/azurelanding/worker_calls.py
+++ b/azurelanding/worker_calls.py
@@ -84,13 +84,15 @@
     """A worker's report on its runs.
 
     ``clock`` is the time of its own clock, in seconds. ``born`` is the start of its
-    incarnation, in milliseconds since the epoch.
+    incarnation, in milliseconds since the epoch. ``has_all_ends`` is false if further
+    ends may follow once these are acknowledged.
     """
 
     clock: float
     born: int
     runs: tuple[ListedRun, ...]
     ends: tuple[ListedEnd, ...]
+    has_all_ends: bool = True
 
 
 @attrs.frozen
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -377,7 +377,7 @@
                 continue
             if key in self.listed_runs:
                 self.unanswered_starts.discard(key)
-            elif key not in ended:
+            elif key not in ended and report.has_all_ends:
                 self._record_unlisted(key)
         had_answered, self.has_answered = self.has_answered, True
         if new_ends or self.lost_runs or not had_answered:
