Let the list of hosts show what an accepted order has ended

An order for maintenance without an answer may have been carried out. The later incarnation of the host was then planned again, drained and ordered, and the platform accepted that order too, as it was done already. The plan was recorded as ordered, so every daemon counted a live worker as ended: it got no tasks any more, its runs were freed if it was silent at that moment, and a controller that took over while its entry was missing freed them without waiting for its lease.

An accepted order for maintenance now stays pending until the next list of the hosts, a quarter of a second later: only if that shows the maintenance, or another worker, has the order ended the worker. Otherwise the plan is dropped and the host counts as begun. Moves don't need it: they are ordered only while the list shows another pool, so an order that is done already has ended the worker of the plan. No call is added, as the hosts are listed for as long as a plan is pending or a wave open.

The test failed before: (set(), set()) != ({'w2'}, {'w2'}), ended and cordoned workers.

--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -49,8 +49,10 @@
     ``hosts`` are the ``HostEntry``s of the last poll by name. Times are in
     ``boot_time``: ``draining_since`` by worker, ``missing_since``, ``busy_until`` and
     ``orderable_at`` (when the pause after an earlier holder's orders ends) by host, and
-    ``maintenance_ordered_at`` by host and wave. ``reported_complete`` holds by wave
-    whether the status last reported to the operator was complete.
+    ``maintenance_ordered_at`` by host and wave. ``accepted_plans`` are the plans whose
+    order for maintenance was accepted since the last poll, by host.
+    ``reported_complete`` holds by wave whether the status last reported to the operator
+    was complete.
     """
 
     def __init__(self, daemon, client):
@@ -62,6 +64,7 @@
         self.draining_since = {}
         self.missing_since = {}
         self.maintenance_ordered_at = {}
+        self.accepted_plans = {}
         self.busy_until = {}
         self.orderable_at = {}
         self.reported_complete = {}
@@ -195,6 +198,7 @@
         """List the hosts, plan which ones to drain, and order the drained ones."""
         self.hosts = await self.client.list_hosts()
         placed = self.daemon.placed()
+        await self._close_accepted_plans()
         await self._drop_stale_plans()
         # Demand is planned before the waves, which are less urgent.
         await self._plan_moves(placed)
@@ -244,6 +248,28 @@
                 pool=plan.pool,
             )
 
+    async def _close_accepted_plans(self):
+        """Record which of the accepted orders for maintenance have ended a worker.
+
+        An order is also accepted if the maintenance was carried out before, as after an
+        order without an answer. It ends nothing then, and its plan is dropped.
+        """
+        now, closed = time.time(), []
+        for name, plan in self.accepted_plans.items():
+            host, pending = self.hosts.get(name), self.fold.pending().get(name)
+            if pending == plan:
+                is_ordered = _shows_maintenance(host, plan)
+                closed.append(
+                    attrs.evolve(
+                        plan,
+                        is_ordered=is_ordered,
+                        is_dropped=not is_ordered,
+                        closed_at=now,
+                    )
+                )
+        await self._store([fleet_records.encode_record(plan) for plan in closed])
+        self.accepted_plans = {}
+
     async def _drop_stale_plans(self):
         """Drop the plans that are overdue, or whose host or worker is no longer up."""
         stale = [
@@ -373,9 +399,13 @@
         return True
 
     async def _record_orders(self, plans):
-        """Record in the fleet's stream that hosts were ordered."""
+        """Record in the fleet's stream that hosts were ordered.
+
+        Plans for maintenance stay pending until the list shows what the order did.
+        """
         now = time.time()
-        ordered = [attrs.evolve(p, is_ordered=True, closed_at=now) for p in plans]
+        moves = [plan for plan in plans if plan.wave is None]
+        ordered = [attrs.evolve(p, is_ordered=True, closed_at=now) for p in moves]
         records = [fleet_records.encode_record(plan) for plan in ordered]
         for number in sorted({plan.wave for plan in plans if plan.wave is not None}):
             begun = {plan.host for plan in plans if plan.wave == number}
@@ -383,6 +413,7 @@
             progress = WaveProgress(number, tuple(sorted(begun)))
             records.append(fleet_records.encode_record(progress))
         await self._store(records)
+        self.accepted_plans.update((p.host, p) for p in plans if p.wave is not None)
 
     async def _finish_wave(self, wave):
         """Complete a wave once each host that still exists has had its maintenance."""
@@ -401,3 +432,13 @@
         done = WaveProgress(wave.number, progress.begun, True)
         await self._store([fleet_records.encode_record(done)])
         await self._report_wave(wave.number, True)
+
+
+def _shows_maintenance(host, plan):
+    """Return whether the ``HostEntry`` of a host shows that its order ended a worker.
+
+    A host that is down may have failed, with a worker that is cut off but still up.
+    """
+    if host is None or host.phase is HostPhase.DOWN:
+        return False
+    return host.worker != plan.worker or host.phase is HostPhase.MAINTENANCE
--- a/azurelanding/fleet_records.py
+++ b/azurelanding/fleet_records.py
@@ -10,10 +10,10 @@
 
     ``worker`` is the incarnation of the host that the plan applies to. ``wave`` is the
     number of the wave for a maintenance, ``pool`` the new pool for a move. ``made_at``
-    is in seconds since the epoch. ``is_ordered`` means that the order was accepted,
-    which ends that incarnation. A plan with ``is_dropped`` records when the host may
-    last have been ordered: ``closed_at``, in seconds since the epoch, is
-    when it was ordered or dropped.
+    is in seconds since the epoch. ``is_ordered`` means that an accepted order has ended
+    that incarnation. A plan with ``is_dropped`` records when the host may last have
+    been ordered: ``closed_at``, in seconds since the epoch, is when it was ordered or
+    dropped.
     """
 
     host: str
--- a/azurelanding/tests/test_fleet_controller.py
+++ b/azurelanding/tests/test_fleet_controller.py
@@ -1,16 +1,22 @@
-"""Test when a new fleet controller may order a host after an earlier one."""
+"""Test when a fleet controller may order a host, and what an accepted order shows."""
 
 import time
 import types
+from unittest import mock
 
+import anyio
+import attrs
 import testtools
 
 from azurelanding import fleet_records
+from azurelanding.configuration import WaveRequest
 from azurelanding.fleet_controller import HOLDER_PAUSE_MARGIN_SECONDS, FleetController
 from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_records import HostPlan
+from azurelanding.fleet_workers import HostEntry, HostPhase
+from azurelanding.host_calls import HostCallError
 from azurelanding.site import Site, StoreSettings, Timing
-from azurelanding.store import StoredRecord
+from azurelanding.store import StoredRecord, stored_records
 from azurelanding.utils import MAX_CLOCK_SKEW_SECONDS, boot_time
 
 PAUSE_SECONDS = 3.0
@@ -94,3 +100,93 @@
         self.assertEqual(["a"], list(controller.fold.pending()))
         apply_plan(controller, "a", 1.0, is_dropped=True)
         self.assertEqual([], list(controller.fold.pending()))
+
+
+class WaveHosts:
+    """The platform's API of one host, which does its maintenance of a wave once.
+
+    The answers to the first ``lost_answers`` orders are lost. ``orders`` counts the
+    orders; a maintenance ends with ``end_maintenance``.
+    """
+
+    def __init__(self, lost_answers):
+        self.lost_answers = lost_answers
+        self.orders = 0
+        self.is_done = False
+        self.host = HostEntry("h", "cuts", HostPhase.UP, "w1")
+
+    async def list_hosts(self):
+        return {"h": self.host}
+
+    async def maintain(self, host, wave, epoch):
+        self.orders += 1
+        if not self.is_done:
+            self.is_done = True
+            self.host = attrs.evolve(self.host, phase=HostPhase.MAINTENANCE, worker="")
+        if self.orders <= self.lost_answers:
+            raise HostCallError("no answer")
+
+    def end_maintenance(self):
+        """Begin the next incarnation of the host, with a worker of its own."""
+        self.host = attrs.evolve(self.host, phase=HostPhase.UP, worker="w2")
+
+
+class AcceptedOrderTest(testtools.TestCase):
+    """Which worker an accepted order has ended."""
+
+    def make_controller(self, client):
+        """Return a controller for a wave of one host, whose workers are drained."""
+        controller = make_controller()
+        wave = WaveRequest(1, ("h",), 20.0, 1)
+        controller.client = client
+        controller.member = mock.Mock(epoch_of=lambda *part: 1, is_valid=True)
+        controller.daemon = mock.Mock(
+            fleet=controller.fold, site=controller.daemon.site
+        )
+        controller.daemon.operator.waves = {1: wave}
+        controller.daemon.placed = dict
+        controller.daemon.vacated = lambda pool: ("w1", "w2")
+        controller.daemon.standby_pools = set
+        controller._plan_moves = mock.AsyncMock()
+        controller._report_wave = mock.AsyncMock()
+        offsets = iter(range(100))
+
+        async def store(records):
+            for record in records:
+                stored = stored_records([record], next(offsets))
+                controller.fold.apply_stored(*stored)
+
+        controller._store = store
+        return controller
+
+    def poll(self, controller, times=1):
+        async def main():
+            for _ in range(times):
+                try:
+                    await controller._poll(1)
+                except HostCallError:
+                    continue
+
+        anyio.run(main)
+
+    def test_order_that_was_carried_out_before_ends_no_worker(self):
+        # The later worker was taken for ended, and stayed without tasks.
+        hosts = WaveHosts(lost_answers=1)
+        controller = self.make_controller(hosts)
+        self.poll(controller, 2)
+        hosts.end_maintenance()
+        controller.maintenance_ordered_at.clear()
+        self.poll(controller, 3)
+        self.assertEqual(2, hosts.orders)
+        self.assertEqual(
+            (set(), set()), (controller.fold.ended(), controller.fold.cordoned())
+        )
+        self.assertEqual(("h",), controller.fold.progress(1).begun)
+
+    def test_order_that_began_the_maintenance_ends_the_worker(self):
+        hosts = WaveHosts(lost_answers=0)
+        controller = self.make_controller(hosts)
+        self.poll(controller, 3)
+        self.assertEqual(1, hosts.orders)
+        self.assertEqual({"w1"}, controller.fold.ended())
+        self.assertEqual(("h",), controller.fold.progress(1).begun)
