Ignore worker entries with a field of another type

Found by reading. PROTOCOL.md says that an entry may come from another writer, with fields missing or of another type, and then names no executor to use. Only some fields were checked. An address that is no address ended the controller of the pool with an exception as soon as it made its link (ValueError: invalid literal for int() with base 10: 'nowhere'), and each controller after it; a start time that is no number, on a known host, ended the reading of all entries (TypeError in the registry). Either leaves a pool without starts and leases for as long as the entry is there.

The test failed before: eight of the new entries were decoded.

--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -12,6 +12,7 @@
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.jobs import RunEnd, TaskId
+from azurelanding.settings import split_address
 from azurelanding.tasks import Resources
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
@@ -54,22 +55,35 @@
     )
 
 
+def _check_entry(entry):
+    """Raise an error if a field is of another type, or the address can't be called."""
+    texts = (entry.host, entry.pool, entry.address, entry.availability_zone)
+    if not all(isinstance(text, str) for text in (*texts, *entry.labels)):
+        raise TypeError(f"not a text among {(*texts, *entry.labels)}")
+    if not isinstance(entry.labels, list | tuple):
+        raise TypeError(f"the labels are {entry.labels!r}")
+    if not isinstance(entry.born, int):
+        raise TypeError(f"born is {entry.born!r}")
+    split_address(entry.address)
+
+
 def decode_worker_entry(worker_id, value):
     """Decode the entry of a worker; return ``None`` if it is invalid."""
     try:
         values = msgspec.json.decode(value)
-        return WorkerEntry(
+        entry = WorkerEntry(
             id=worker_id,
             host=values.get("machine", ""),
             pool=values["service"],
             address=values["address"],
             availability_zone=values["zone"],
             resources=decode_resources(values["capacity"]),
-            labels=tuple(values.get("labels", ())),
+            labels=values.get("labels", ()),
             phase=WorkerPhase(values["state"]),
             born=values.get("born", 0),
             warmup_seconds=values.get("coldRemainingMs", 0) / MS_PER_SECOND,
         )
+        _check_entry(entry)
     except (
         msgspec.DecodeError,
         KeyError,
@@ -81,6 +95,7 @@
             "invalid worker entry ignored", worker=worker_id, fault=repr(error)
         )
         return None
+    return entry
 
 
 def parse_task_id(name):
--- a/azurelanding/tests/test_platform_wire.py
+++ b/azurelanding/tests/test_platform_wire.py
@@ -91,6 +91,14 @@
             encode(ENTRY, capacity=None),
             encode(ENTRY, capacity={"cpu": "many"}),
             encode({"service": "cuts"}),
+            encode(ENTRY, address=17),
+            encode(ENTRY, address="nowhere"),
+            encode(ENTRY, service=["cuts"]),
+            encode(ENTRY, zone=None),
+            encode(ENTRY, machine=5),
+            encode(ENTRY, born="soon"),
+            encode(ENTRY, labels="r1-3"),
+            encode(ENTRY, labels=[1]),
         ]
         for value in invalid:
             self.assertIsNone(workers.decode_worker_entry("i-1", value), value)
