Count no worker as ended by another incarnation while it reports

The registry orders the incarnations of a host by their start times. If the host's clock was set back between two starts, the live incarnation counted as ended: its link was closed and it got no tasks until the next one.

A later incarnation is now taken as an order to the host is: as a sign of the end, which counts only if the worker does not report after it. A worker that has ended doesn't: the next incarnation registers one and a half seconds after that at the earliest, when the hold call is overdue already, so its runs are freed as early as before. A second sign counts anew, as a report from before the end may be read late over a thin link.

What remains: a worker that counts as ended so and whose first hold call gets no answer.

--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -268,11 +268,9 @@
         """Free the runs that are certainly no longer in progress."""
         now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
-            link.has_ended = (
-                link.has_ended
-                or self.daemon.registry.has_later_incarnation(worker_id)
-                or (worker_id in ended and link.is_ended_by_order(now))
-            )
+            signs = self._signs_of_end(worker_id, ended)
+            if any(signs) and link.has_fallen_silent(signs, now):
+                link.has_ended = True
             for (task, run), refusal in link.not_started:
                 self._record_refusal(draft, link, task, run, refusal)
             link.not_started = []
@@ -285,11 +283,13 @@
                     self._free(draft, link, task, run, reason)
         self._free_runs_of_missing(draft, now, ended)
 
-    def _has_ended(self, worker_id, ended):
-        """Return whether a worker's incarnation has certainly ended, even if leased."""
-        return worker_id in ended or self.daemon.registry.has_later_incarnation(
-            worker_id
-        )
+    def _signs_of_end(self, worker_id, ended):
+        """Return whether an order to the host of a worker shows that it has ended.
+
+        Second, return whether a later incarnation of the host does.
+        """
+        is_later_known = self.daemon.registry.has_later_incarnation(worker_id)
+        return worker_id in ended, is_later_known
 
     def _free_runs_of_missing(self, draft, now, ended):
         """Free the runs on workers without a registry entry once their lease expired.
@@ -309,7 +309,7 @@
         lease = self.daemon.site.timing.longest_lease
         for name in missing:
             since = recorded.get(name)
-            if self._has_ended(name, ended) or missing_workers.is_lease_expired(
+            if any(self._signs_of_end(name, ended)) or missing_workers.is_lease_expired(
                 since, self.started_at, lease, now, wall_time
             ):
                 for task, run in runs[name]:
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -291,6 +291,23 @@
 
         self.run_site(scenario, workers=1, lease=6.0)
 
+    def test_worker_whose_clock_was_set_back_at_its_start_gets_tasks(self):
+        job = make_job()
+
+        async def scenario(world):
+            (earlier,) = world.fleet.models.values()
+            earlier.incarnation = 7
+            world.store.put("workers", earlier.name, b"entry")
+            (daemon,) = world.daemons
+            await until(lambda: daemon.registry.newest_by_host)
+            earlier.knobs.silent = True
+            world.add_worker("later", host=earlier.host)
+            world.store.put("workers", earlier.name, None)
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        self.run_site(scenario, workers=1)
+
     def order_host(self, is_ended):
         """Record an order to the host of a run; return how often its task started.
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -85,8 +85,8 @@
       next report.
     - ``may_have_restarted`` is set from any unanswered or overdue ``hold`` call to the
       next report: another incarnation, with ends of its own, may answer the next call.
-    - ``order_seen_at`` is the ``boot_time`` since when an order to the worker's host is
-      known that ends the worker.
+    - ``end_seen_at`` is the ``boot_time`` since when the ``signs_of_end`` are known,
+      which show that the worker has ended unless it reports later.
     - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
       flight on the first connection is overdue, ``None`` without such a call.
     - ``unanswered_calls`` is the number of calls without an answer since the last one
@@ -160,7 +160,8 @@
         self.clock = None
         longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
         self.leased_until = boot_time() + longest
-        self.order_seen_at = None
+        self.signs_of_end = ()
+        self.end_seen_at = None
         self.no_starts_until = 0.0
         self.report_count = 0
 
@@ -325,16 +326,18 @@
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
 
-    def is_ended_by_order(self, now):
-        """Return whether the worker has ended, as its host was ordered by ``now``.
+    def has_fallen_silent(self, signs_of_end, now):
+        """Return whether the worker has not reported since signs of its end are known.
 
-        A worker that has reported since is a later incarnation: an order that was
-        carried out before is accepted again and ends nothing.
+        One that has is up: an order that was carried out before is accepted again and
+        ends nothing, and a host's clock may have been set back between two
+        incarnations. A report from before may arrive late, so a further sign counts
+        from ``now``.
         """
-        if self.order_seen_at is None:
-            self.order_seen_at = now
+        if self.signs_of_end != signs_of_end:
+            self.signs_of_end, self.end_seen_at = signs_of_end, now
         reported_at = self.last_report_at or 0.0
-        return self.last_hold_failed and reported_at <= self.order_seen_at
+        return self.last_hold_failed and reported_at <= self.end_seen_at
 
     def handle_refusal(self, error):
         """Log a refused call; one that was refused as superseded ends the link."""
