Answer looks at jobs within the callers' timeouts, one read for all

What callers saw (by reading): a GET or DELETE of a job read the stream first, without a limit. During a load on a thin link, or while the store was silent, it was answered after its caller had left; such callers also queued behind each other, each with a read of 1.2 s of its own, so 20 of them held the last one for 24 s.

Cause: JobService awaited TopicFollower.refresh, which holds a lock for its read, and nothing bounded the wait.

Change: the connection for refreshes has a task of its own, which reads once for all callers that wait. Each waits for its own time; then the state as read so far is given, or 503 where there is none, as while the store is down. A cancellation's append gets what the read left of its time. The read itself goes on.

Evidence: on the code before, two of the three tests of SlowReadTest failed by their limit of 3 s for answers due after 0.3 s. The third one, that a load survives the timeouts of those who wait for it, passed there and guards the new code.

--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -54,20 +54,20 @@
                 return stream, state
         return None, None
 
-    async def _search(self, queue, job_id):
+    async def _search(self, queue, job_id, deadline):
         """Read the streams; return the stream and state of a job, or two ``None``.
 
-        Raises ``StateUnknownError`` when the store can't be read and the job is not in
-        any stream as read so far.
+        Raises ``StateUnknownError`` when the store can't be read by ``deadline`` and
+        the job is not in any stream as read so far.
         """
         stream = self.stream_of(queue.pool)
         try:
-            await stream.follower.refresh()
+            await stream.follower.refresh_within(deadline - time.monotonic())
             if job_id in stream.ledger.jobs:
                 return stream, stream.ledger.jobs[job_id]
             for other in self.streams():
                 if other is not stream:
-                    await other.follower.refresh()
+                    await other.follower.refresh_within(deadline - time.monotonic())
         except StoreError as error:
             found, state = self._find(job_id)
             if state is None:
@@ -115,8 +115,9 @@
 
     async def cancel(self, queue, job_id, timeout):
         """Cancel a job; return the ``Acceptance``. ``timeout`` is in seconds."""
+        deadline = time.monotonic() + timeout
         try:
-            stream, state = await self._search(queue, job_id)
+            stream, state = await self._search(queue, job_id, deadline)
         except StateUnknownError as error:
             logger.info("cancellation refused", job=job_id, reason=str(error))
             return Acceptance.REFUSED
@@ -126,22 +127,24 @@
             acceptance, detail = Acceptance.ACCEPTED, state.phase.value
         else:
             records = (JobCancelled(job_id, time.time()),)
-            acceptance, detail = await self._append(stream, records, timeout)
+            max_wait = deadline - time.monotonic()
+            acceptance, detail = await self._append(stream, records, max_wait)
         self.metrics.count(f"cancellations_{acceptance.value}")
         logger.info(
             "job cancelled", job=job_id, outcome=acceptance.value, detail=detail
         )
         return acceptance
 
-    async def phase(self, queue, job_id):
+    async def phase(self, queue, job_id, timeout):
         """Return the current ``JobPhase`` of a job, ``None`` if it does not exist.
 
-        Raises ``StateUnknownError`` when the store can't be read and the job is not in
-        any stream as read so far.
+        ``timeout`` is in seconds. Raises ``StateUnknownError`` when the store can't be
+        read within it and the job is not in any stream as read so far.
         """
         _, state = self._find(job_id)
         if state is None or state.outcome is None:
-            _, state = await self._search(queue, job_id)
+            deadline = time.monotonic() + timeout
+            _, state = await self._search(queue, job_id, deadline)
         return None if state is None else state.phase
 
     def pending(self, queue):
--- a/azurelanding/platform/callers.py
+++ b/azurelanding/platform/callers.py
@@ -175,8 +175,9 @@
 
 
 async def _get_state(context, queue, job_id, scope, receive, send):
+    timeout = _answer_timeout(_decode_headers(scope), queue, context.limits)
     try:
-        phase = await context.service.phase(queue, job_id)
+        phase = await context.service.phase(queue, job_id, timeout)
     except StateUnknownError as error:
         logger.info("job state unknown", job=job_id, reason=str(error))
         headers = context.retry_headers(Acceptance.REFUSED)
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -70,6 +70,7 @@
     def start(self, task_group):
         """Start reading the partition and serving appends in ``task_group``."""
         task_group.start_soon(self.follower.run)
+        task_group.start_soon(self.follower.run_refreshes)
         task_group.start_soon(self.appender.run)
 
     def apply_appended(self, records, offset):
--- /dev/null
+++ b/azurelanding/tests/test_job_service.py
@@ -0,0 +1,115 @@
+"""Test what callers learn of their jobs while the store does not answer."""
+
+import contextlib
+
+import anyio
+import testtools
+
+from azurelanding.job_records import encode_record
+from azurelanding.job_service import Acceptance, JobService, StateUnknownError
+from azurelanding.jobs import JobPhase
+from azurelanding.ledger import submission_records
+from azurelanding.pool_stream import TOPIC, PoolStream
+from azurelanding.served_metrics import ServedMetrics
+from azurelanding.standins.platform_store import ModelClient, StoreModel
+from azurelanding.store import Producer
+from azurelanding.tests.platform_world import make_job, make_queue
+
+QUEUE = make_queue()
+TIMEOUT = 0.3
+
+
+class SlowStore:
+    """A store whose reads take ``delay`` seconds; ``page_count`` counts its pages."""
+
+    def __init__(self, delay):
+        self.model = StoreModel(1)
+        self.delay = delay
+        self.page_count = 0
+
+    def client(self):
+        """Return a client whose pages and reads are late."""
+        return SlowClient(self)
+
+
+class SlowClient(ModelClient):
+    """Client of a ``SlowStore``."""
+
+    def __init__(self, store):
+        super().__init__(store.model)
+        self.store = store
+
+    async def read(self, *arguments):
+        await anyio.sleep(self.store.delay)
+        return await super().read(*arguments)
+
+    async def newest(self, *arguments):
+        self.store.page_count += 1
+        await anyio.sleep(self.store.delay)
+        return await super().newest(*arguments)
+
+
+class SlowReadTest(testtools.TestCase):
+    """Looks at jobs and cancellations while the stream can't be read in time."""
+
+    def setUp(self):
+        super().setUp()
+        self.job = make_job()
+        self.store = SlowStore(30.0)
+        records = [encode_record(record) for record in submission_records(self.job)]
+        partition = self.store.model.partitions[TOPIC, 0]
+        partition.append(records, Producer("p", 1), 1)
+
+    def run_with(self, scenario):
+        """Run ``scenario(service, stream)`` beside the follower of the stream."""
+
+        async def main():
+            stream = PoolStream(0, self.store.client, "d0", lambda partition: 0.8)
+            service = JobService(lambda pool: stream, lambda: [stream], ServedMetrics())
+            async with anyio.create_task_group() as task_group:
+                stream.start(task_group)
+                with anyio.fail_after(3.0):
+                    await scenario(service, stream)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def test_look_at_a_job_during_a_load_is_answered_within_its_timeout(self):
+        async def scenario(service, stream):
+            with testtools.ExpectedException(StateUnknownError):
+                await service.phase(QUEUE, self.job.id, TIMEOUT)
+            acceptance = await service.cancel(QUEUE, self.job.id, TIMEOUT)
+            self.assertIs(Acceptance.REFUSED, acceptance)
+
+        self.run_with(scenario)
+
+    def test_looks_at_a_silent_store_do_not_wait_for_each_other(self):
+        async def scenario(service, stream):
+            answers = []
+
+            async def look():
+                with contextlib.suppress(StateUnknownError):
+                    await service.phase(QUEUE, self.job.id, TIMEOUT)
+                answers.append(anyio.current_time() - started_at)
+
+            started_at = anyio.current_time()
+            async with anyio.create_task_group() as task_group:
+                for _ in range(50):
+                    task_group.start_soon(look)
+            self.assertLess(max(answers), 2 * TIMEOUT)
+
+        self.run_with(scenario)
+
+    def test_load_goes_on_after_the_timeouts_of_those_who_wait_for_it(self):
+        # On a thin link each look would start it again, and none would see its end.
+        self.store.delay = 0.5
+
+        async def scenario(service, stream):
+            phases = []
+            while not phases:
+                with contextlib.suppress(StateUnknownError):
+                    phases.append(await service.phase(QUEUE, self.job.id, 0.2))
+            self.assertEqual([JobPhase.QUEUED], phases)
+            self.assertEqual(1, self.store.page_count)
+
+        self.run_with(scenario)
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -206,7 +206,7 @@
     async def cancel(self, queue, job_id, timeout):
         return self.acceptance
 
-    async def phase(self, queue, job_id):
+    async def phase(self, queue, job_id, timeout):
         if self.job_phase == "unknown":
             raise StateUnknownError("the store is down")
         return self.job_phase
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -38,7 +38,7 @@
     """Wait until a daemon reports that ``job`` is in ``phase``."""
     service = world.daemons[number].service
     with anyio.fail_after(12):
-        while await service.phase(QUEUE, job.id) is not phase:  # noqa: ASYNC110
+        while await service.phase(QUEUE, job.id, 5.0) is not phase:  # noqa: ASYNC110
             await anyio.sleep(0.02)
 
 
@@ -447,7 +447,7 @@
             self.assertEqual(Acceptance.ACCEPTED, cancelled)
             models = world.fleet.models.values()
             await until(lambda: not any(model.running for model in models))
-            phase = await service.phase(QUEUE, job.id)
+            phase = await service.phase(QUEUE, job.id, 5.0)
             self.assertEqual(JobPhase.CANCELLED, phase)
 
         self.run_site(scenario)
@@ -568,7 +568,7 @@
     def test_phase_of_an_unknown_job_is_none(self):
         async def scenario(world):
             await until(lambda: world.daemons[0].controllers)
-            phase = await world.daemons[0].service.phase(QUEUE, "f" * 16)
+            phase = await world.daemons[0].service.phase(QUEUE, "f" * 16, 5.0)
             self.assertIsNone(phase)
 
         self.run_site(scenario)
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -4,7 +4,11 @@
 import attrs
 import structlog
 
-from azurelanding.store import OffsetOutOfRangeError, StoreError
+from azurelanding.store import (
+    OffsetOutOfRangeError,
+    StoreError,
+    StoreNoResponseError,
+)
 from azurelanding.utils import Notifier
 
 logger = structlog.get_logger()
@@ -67,6 +71,19 @@
         return [changes[offset] for offset in sorted(changes)]
 
 
+@attrs.define(eq=False)
+class PendingRefresh:
+    """A caller that waits for ``run_refreshes``, and the error if the read failed."""
+
+    settled: anyio.Event = attrs.field(factory=anyio.Event)
+    error: StoreError | None = None
+
+    def settle(self, error=None):
+        """Set the result and wake the caller."""
+        self.error = error
+        self.settled.set()
+
+
 class TopicFollower:
     """Applies the records of a partition to a fold, in the order of their offsets.
 
@@ -76,7 +93,8 @@
     longest time in seconds that the store waits for a record before it responds.
     ``caught_up_at`` is when the last read began that reached the end of the partition.
     ``loads`` holds the loads under way; ``paused_load`` is one of them that has lost a
-    page, and which the next attempt continues.
+    page, and which the next attempt continues. ``pending_refreshes`` are the callers
+    that wait for the next refresh.
     """
 
     def __init__(self, topic, partition, make_client, fold, read_delay, max_wait):
@@ -95,6 +113,8 @@
         self.newest_load = 0
         self.loads = []
         self.paused_load = None
+        self.pending_refreshes = []
+        self.refresh_requested = Notifier()
         self.changes = Notifier()
 
     @property
@@ -248,6 +268,35 @@
             while self.caught_up_at < called_at:
                 await self._read_or_load(self.refresher, 0.0)
 
+    async def run_refreshes(self):
+        """Refresh for all callers that wait together, until cancelled."""
+        while True:
+            await self.refresh_requested.wait_until(lambda: self.pending_refreshes)
+            pending, self.pending_refreshes = self.pending_refreshes, []
+            error = None
+            try:
+                await self.refresh()
+            except StoreError as failure:
+                error = failure
+            for refresh in pending:
+                refresh.settle(error)
+
+    async def refresh_within(self, max_wait):
+        """Do as ``refresh`` does, for ``max_wait`` seconds; needs ``run_refreshes``.
+
+        A read or a load that takes longer goes on, so that a later call does not start
+        it again.
+        """
+        pending = PendingRefresh()
+        self.pending_refreshes.append(pending)
+        self.refresh_requested.notify()
+        with anyio.move_on_after(max_wait):
+            await pending.settled.wait()
+        if not pending.settled.is_set():
+            raise StoreNoResponseError(f"{self.topic} was not read in time")
+        if pending.error is not None:
+            raise pending.error
+
     async def close(self):
         """Close the connections; may be called twice."""
         await self.reader.close()
