Give a pace order again if it failed or its link was dropped

Cause: FillerThrottles counted a share as ordered when the order was queued, and the link sent it once. An order that was refused, unanswered or queued on a dropped link was counted too. With two connections an order that a later one had replaced was still sent, and could overtake it.

Change: the link holds the share last ordered for each run, unknown after a failed order, so the next report, which shows that the worker answers, gives the order again without keeping a connection for it. A replaced order isn't sent. A new link knows no shares. An unanswered order that is carried out seconds later, after a newer one, remains possible.

--- a/azurelanding/filler_throttle.py
+++ b/azurelanding/filler_throttle.py
@@ -26,14 +26,13 @@
 class FillerThrottle:
     """The share of their pace at which the fillers of one worker may run.
 
-    ``changed_at`` is a ``boot_time``, ``report_count`` the number of the worker's
-    reports that were evaluated, and ``ordered_shares`` the share last ordered, by run.
+    ``changed_at`` is a ``boot_time``, and ``evaluated`` the link and the number of the
+    last report that was evaluated.
     """
 
     share: float = 1.0
     changed_at: float = 0.0
-    report_count: int = 0
-    ordered_shares: dict = attrs.field(factory=dict)
+    evaluated: tuple = ()
 
 
 class FillerThrottles:
@@ -61,22 +60,18 @@
     def pace_orders(self, link, ledger):
         """Return the ``PaceOrder``s to send to a worker after a new report."""
         throttle = self.by_worker.setdefault(link.entry.id, FillerThrottle())
-        if throttle.report_count == link.report_count:
+        if throttle.evaluated == (link, link.report_count):
             return []
-        throttle.report_count = link.report_count
+        throttle.evaluated = link, link.report_count
         worst_tail, fillers = self._tail_and_fillers(link, ledger)
         if not fillers:
-            throttle.ordered_shares = {}
+            link.paces = {}
             return []
         now = boot_time()
         if now >= throttle.changed_at + MIN_CHANGE_INTERVAL_SECONDS:
             self._adjust(throttle, worst_tail, now)
-        due = [
-            key
-            for key in fillers
-            if throttle.ordered_shares.get(key, 1.0) != throttle.share
-        ]
-        throttle.ordered_shares = dict.fromkeys(fillers, throttle.share)
+        due = [key for key in fillers if link.paces.get(key, 1.0) != throttle.share]
+        link.paces = dict.fromkeys(fillers, throttle.share)
         return [PaceOrder(task_id, run, throttle.share) for task_id, run in due]
 
     def _adjust(self, throttle, worst_tail, now):
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -2,6 +2,7 @@
 
 import unittest.mock
 
+import anyio
 import testtools
 
 from azurelanding import (
@@ -10,6 +11,7 @@
     host_choice,
     job_placement,
     pool_sizes,
+    worker_orders,
 )
 from azurelanding.configuration import WaveRequest
 from azurelanding.fleet_records import HostPlan, WaveProgress
@@ -20,7 +22,12 @@
 from azurelanding.tests.platform_world import make_job, make_link, make_step
 from azurelanding.tests.test_job_placement import make_capacity
 from azurelanding.utils import boot_time
-from azurelanding.worker_calls import ListedRun
+from azurelanding.worker_calls import (
+    ListedRun,
+    Refusal,
+    WorkerNoResponseError,
+    WorkerRefusedError,
+)
 
 HOST_CAPACITY = Resources(8.0, 1 << 34, 0)
 
@@ -242,29 +249,75 @@
 class FillerThrottlesTest(testtools.TestCase):
     """Throttling of filler tasks beside serving tasks with a target."""
 
-    def test_fillers_are_slowed_down_and_sped_up_again(self):
+    def setUp(self):
+        super().setUp()
         steps = (
             make_step(1, long_running=True, tail_target=0.1),
             make_step(1, fills=True),
         )
         job = make_job(steps=steps)
-        ledger = make_ledger(job, ["v"])
-        serving, filling = TaskId(job.id, 0, 0, 0), TaskId(job.id, 0, 1, 0)
-        link = make_link("v")
-        throttles = filler_throttle.FillerThrottles()
-
-        def report(tail):
-            link.report_count += 1
-            link.listed_runs = {
-                (serving, 1): ListedRun(serving, 1, "", 1.0, tail),
-                (filling, 1): ListedRun(filling, 1, "", 1.0, 500),
-            }
-            throttles.by_worker.get(
-                "v", filler_throttle.FillerThrottle()
-            ).changed_at = 0.0
-            return [order.share for order in throttles.pace_orders(link, ledger)]
-
-        self.assertEqual([0.5], report(150))
-        self.assertEqual([0.25], report(150))
-        self.assertEqual([], report(90))
-        self.assertEqual([0.35], report(50))
+        self.ledger = make_ledger(job, ["v"])
+        self.serving, self.filling = TaskId(job.id, 0, 0, 0), TaskId(job.id, 0, 1, 0)
+        self.link = make_link("v")
+        self.throttles = filler_throttle.FillerThrottles()
+
+    def report(self, tail):
+        """Return the orders after a report with a tail latency in milliseconds."""
+        self.link.report_count += 1
+        self.link.listed_runs = {
+            (self.serving, 1): ListedRun(self.serving, 1, "", 1.0, tail),
+            (self.filling, 1): ListedRun(self.filling, 1, "", 1.0, 500),
+        }
+        self.throttles.by_worker.get(
+            "v", filler_throttle.FillerThrottle()
+        ).changed_at = 0.0
+        return self.throttles.pace_orders(self.link, self.ledger)
+
+    def shares(self, tail):
+        """Return the shares that are ordered after a report."""
+        return [order.share for order in self.report(tail)]
+
+    def send(self, orders, error=None):
+        """Send orders to a worker; return the shares of the calls that it got."""
+        shares = []
+
+        async def pace(task, run, share):
+            shares.append(share)
+            if error is not None:
+                raise error
+
+        async def main():
+            for order in orders:
+                self.link.enqueue(order)
+            client = unittest.mock.Mock(pace=pace)
+            with anyio.move_on_after(0.05):
+                await worker_orders.send_orders(self.link, client)
+
+        anyio.run(main)
+        return shares
+
+    def test_fillers_are_slowed_down_and_sped_up_again(self):
+        self.assertEqual([0.5], self.shares(150))
+        self.assertEqual([0.25], self.shares(150))
+        self.assertEqual([], self.shares(90))
+        self.assertEqual([0.35], self.shares(50))
+
+    def test_failed_pace_order_is_given_again(self):
+        # The target was missed, or the fillers were slow, until the share changed.
+        unanswered = WorkerNoResponseError("no answer", True)
+        refused = WorkerRefusedError("not now", Refusal.UNHEALTHY)
+        for error in (unanswered, refused):
+            (order,) = self.report(150)
+            self.assertEqual([order.share], self.send([order], error))
+            self.assertEqual([order.share], self.shares(90))
+            self.assertEqual([], self.shares(90))
+
+    def test_pace_order_that_a_later_one_replaced_is_not_sent(self):
+        # On another connection it could overtake the later one.
+        orders = self.report(150) + self.report(150)
+        self.assertEqual([0.25], self.send(orders))
+
+    def test_pace_orders_of_a_dropped_link_are_given_again_on_the_next_one(self):
+        self.assertEqual([0.5], self.shares(150))
+        self.link = make_link("v")
+        self.assertEqual([0.5], self.shares(90))
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -76,6 +76,8 @@
       and ``lost_runs`` those that the worker no longer lists.
     - ``stops`` maps the runs that were ordered to stop to the ``boot_time`` of the
       order, and ``orders`` are the orders not yet sent.
+    - ``paces`` maps the filler runs to the share of their pace that was last ordered,
+      ``None`` if it is not known whether the worker has received it.
     - ``clock`` is the time of the worker's clock in the last report, with the
       ``boot_time`` at which it was received.
     - ``leased_until`` is the ``boot_time`` after which nothing runs on the worker
@@ -141,6 +143,7 @@
         self.not_started = []
         self.lost_runs = []
         self.stops = {}
+        self.paces = {}
         self.orders = OrderQueue(watch.observe_order_wait)
         self.order_added = Notifier()
         self.ends_recorded = Notifier()
@@ -482,6 +485,12 @@
         if self.runs.get((task, run)) is not None:
             self.await_reports((task, run))
 
+    def record_pace_unknown(self, order):
+        """Record that a ``PaceOrder`` has failed, unless a later one was given."""
+        key = (order.task, order.run)
+        if self.paces.get(key) == order.share:
+            self.paces[key] = None
+
     def drop_run(self, key):
         """Drop a run that has ended or was freed."""
         self.runs.pop(key, None)
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -88,12 +88,16 @@
 
 
 async def _pace(link, client, order):
-    """Send a pace order once, without a retry."""
+    """Send a pace order once; after a later report a failed one is given again."""
+    if link.paces.get((order.task, order.run)) != order.share:
+        # A later one has replaced it, or the run has ended.
+        return
     try:
         with link.watched("pace"):
             await client.pace(order.task, order.run, order.share)
     except (WorkerNoResponseError, WorkerRefusedError) as error:
         logger.info("pace order failed", worker=link.entry.id, reason=str(error))
+        link.record_pace_unknown(order)
     except WorkerEndedError as error:
         link.mark_ended(str(error))
 
