Order the pace of fillers that were taken over

What callers saw (found while mending lost pace orders): after a takeover a throttled filler kept the pace that the earlier controller had ordered, also one of 0, for as long as it ran or until the share of its worker changed, which it never did beside tasks that met their targets.

Cause: the new controller took the pace of each run for 1, its own share was 1 too, and so no order was due.

Change: the pace of a run that was placed before the link was made counts as unknown, and the first report gives an order.

Evidence: test_throttled_filler_gets_its_full_pace_again_after_a_takeover ran into its limit of 10 s before, and test_first_share_of_fillers_that_were_taken_over_is_half failed with [0.5] != [].

--- a/azurelanding/filler_throttle.py
+++ b/azurelanding/filler_throttle.py
@@ -35,6 +35,10 @@
     evaluated: tuple = ()
 
 
+def _has_unknown_pace(link, fillers):
+    return any(link.paces.get(key, 1.0) is None for key in fillers)
+
+
 class FillerThrottles:
     """The ``FillerThrottle`` of each worker of a pool."""
 
@@ -60,14 +64,18 @@
     def pace_orders(self, link, ledger):
         """Return the ``PaceOrder``s to send to a worker after a new report."""
         throttle = self.by_worker.setdefault(link.entry.id, FillerThrottle())
-        if throttle.evaluated == (link, link.report_count):
+        if not link.report_count or throttle.evaluated == (link, link.report_count):
             return []
+        is_first = not throttle.evaluated
         throttle.evaluated = link, link.report_count
         worst_tail, fillers = self._tail_and_fillers(link, ledger)
         if not fillers:
             link.paces = {}
             return []
         now = boot_time()
+        if is_first and worst_tail > 0.0 and _has_unknown_pace(link, fillers):
+            # An earlier controller may have found that they disturb the other tasks.
+            throttle.share, throttle.changed_at = SLOWDOWN_FACTOR, now
         if now >= throttle.changed_at + MIN_CHANGE_INTERVAL_SECONDS:
             self._adjust(throttle, worst_tail, now)
         due = [key for key in fillers if link.paces.get(key, 1.0) != throttle.share]
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -321,3 +321,9 @@
         self.assertEqual([0.5], self.shares(150))
         self.link = make_link("v")
         self.assertEqual([0.5], self.shares(90))
+
+    def test_first_share_of_fillers_that_were_taken_over_is_half(self):
+        # Their earlier pace is not known; the full one could disturb too long.
+        self.link.adopt_run((self.filling, 1))
+        self.assertEqual([0.5], self.shares(90))
+        self.assertEqual([0.6], self.shares(50))
--- a/azurelanding/tests/test_site_rules.py
+++ b/azurelanding/tests/test_site_rules.py
@@ -12,7 +12,12 @@
     make_step,
     until,
 )
-from azurelanding.tests.test_pool_control import count_starts, submit, until_phase
+from azurelanding.tests.test_pool_control import (
+    count_starts,
+    submit,
+    take_over,
+    until_phase,
+)
 
 QUEUE = make_queue()
 
@@ -121,24 +126,44 @@
 class ThrottleTest(testtools.TestCase):
     """Tasks that use idle cores beside tasks with a target for response times."""
 
-    def test_filler_task_is_throttled_until_the_target_is_met(self):
+    def setUp(self):
+        super().setUp()
         steps = (
             make_step(1, long_running=True, tail_target=0.1),
             make_step(1, long_running=True, fills=True),
         )
-        job = make_job(steps=steps)
+        self.job = make_job(steps=steps)
+
+    async def start_and_throttle(self, world):
+        """Start the job and wait until its filler is throttled; return the worker."""
+        world.fleet.long_running.add(self.job.id)
+        model = world.fleet.models["v"]
+        model.knobs.tail_latency_ms = 300.0
+        await submit(world, self.job)
+        await until(lambda: len(count_starts(world, self.job)) == 2)
+        with anyio.fail_after(4.0):
+            while 300.0 * min(model.paces.values(), default=1.0) > 100.0:  # noqa: ASYNC110
+                await anyio.sleep(0.02)
+        return model
+
+    def test_filler_task_is_throttled_until_the_target_is_met(self):
         world = make_world("v", lease=6.0)
 
         async def scenario(world):
-            world.fleet.long_running.add(job.id)
-            model = world.fleet.models["v"]
-            model.knobs.tail_latency_ms = 300.0
-            await submit(world, job)
-            await until(lambda: len(count_starts(world, job)) == 2)
-            with anyio.fail_after(4.0):
-                while 300.0 * min(model.paces.values(), default=1.0) > 100.0:  # noqa: ASYNC110
-                    await anyio.sleep(0.02)
+            model = await self.start_and_throttle(world)
             throttled_steps = {task.step for task, _ in model.paces}
             self.assertEqual({1}, throttled_steps)
 
         anyio.run(world.run, scenario, 1)
+
+    def test_throttled_filler_gets_its_full_pace_again_after_a_takeover(self):
+        # It kept its pace, also one of 0, for as long as it ran.
+        world = make_world("v", lease=6.0)
+
+        async def scenario(world):
+            model = await self.start_and_throttle(world)
+            take_over(world)
+            model.knobs.tail_latency_ms = 50.0
+            await until(lambda: set(model.paces.values()) == {1.0}, 10.0)
+
+        anyio.run(world.run, scenario, 1)
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -433,6 +433,7 @@
     def adopt_run(self, key):
         """Count a run that was placed before this link was made as started."""
         self.runs.setdefault(key, boot_time())
+        self.paces[key] = None
 
     def enqueue(self, order):
         """Append an order to the queue of orders."""
