Send stops while the starts before them wait to be repeated

What callers saw (by reading): a run that had to be stopped went on for up to a third of a lease, 2 s, where both order connections of its worker held a start that waited for the link's budget, and for as long as the worker's lease could not be extended where they held starts that had been sent. Tasks of cancelled jobs then run on (UNASKED), and a freed run whose stop is late keeps the lease from being extended.

Cause: a start that waits to be repeated sleeps on its connection, and the stops are taken from the queue only between orders.

Change: such a start waits for new orders instead, and sends the stops among them. A start that wasn't sent yet doesn't: it is given up when its worker falls silent, which an unanswered stop would delay. A start that such a stop, or a report of its end, has settled is not sent again.

--- a/azurelanding/order_queue.py
+++ b/azurelanding/order_queue.py
@@ -35,7 +35,18 @@
 
     def popleft(self):
         """Remove and return the first order."""
-        queued_at, order = self.entries.popleft()
+        return self._take(self.entries[0])
+
+    def pop_first(self, order_type):
+        """Remove and return the first order of a type; return ``None`` without one."""
+        for entry in self.entries:
+            if isinstance(entry[1], order_type):
+                return self._take(entry)
+        return None
+
+    def _take(self, entry):
+        self.entries.remove(entry)
+        queued_at, order = entry
         self.observe_wait(boot_time() - queued_at)
         return order
 
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -18,6 +18,7 @@
     WorkerRefusedError,
     WorkerReport,
 )
+from azurelanding.worker_link import ORDER_CONNECTION_COUNT
 
 TASK = TaskId("0" * 16, 0, 0, 0)
 KEY = (TASK, 1)
@@ -172,6 +173,52 @@
         self.assertEqual({}, link.runs)
 
 
+class StopBehindRepeatsTest(testtools.TestCase):
+    """Stops that are ordered while all connections have starts to repeat."""
+
+    def order_stop(self, stopped, seconds, **fields):
+        """Return the calls to a worker after the stop of a run is ordered.
+
+        A start on each connection is unanswered and waits for ``seconds`` before it
+        is repeated.
+        """
+        tasks = [TaskId("0" * 16, 0, 0, n) for n in range(ORDER_CONNECTION_COUNT)]
+        clients = [ScriptedClient(unanswered()) for _ in tasks]
+
+        async def main():
+            link = make_link(
+                make_client=lambda entry: None, count_repeat=lambda order: seconds
+            )
+            link.clock = (1.0, boot_time())
+            async with anyio.create_task_group() as task_group:
+                for task, client in zip(tasks, clients, strict=True):
+                    link.enqueue(StartOrder(task, 1, "spec"))
+                    task_group.start_soon(worker_orders.send_orders, link, client)
+                await until(lambda: all(client.calls for client in clients))
+                for name, value in fields.items():
+                    setattr(link, name, value)
+                await anyio.sleep(0.3)
+                link.enqueue(StopOrder(stopped, 1))
+                await anyio.sleep(0.3)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        return sorted(call for client in clients for call in client.calls)
+
+    def test_stop_does_not_wait_for_repeats_that_wait_for_the_budget(self):
+        other = TaskId("1" * 16, 0, 0, 0)
+        self.assertEqual(["start", "start", "stop"], self.order_stop(other, 5.0))
+
+    def test_stop_does_not_wait_for_repeats_that_wait_for_the_lease(self):
+        other = TaskId("1" * 16, 0, 0, 0)
+        calls = self.order_stop(other, 0.0, last_hold_failed=True)
+        self.assertEqual(["start", "start", "stop"], calls)
+
+    def test_start_that_is_stopped_while_it_waits_is_not_repeated(self):
+        calls = self.order_stop(TASK, 0.4)
+        self.assertEqual(["start", "start", "start", "stop"], calls)
+
+
 class LateStartTest(testtools.TestCase):
     """A start that may be carried out after its run was freed."""
 
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -110,19 +110,39 @@
         await client.start(order, lease_end)
 
 
+async def _wait(link, client, seconds, may_have_started):
+    """Wait before a start is sent again.
+
+    Its connection sends the stops that are queued meanwhile. That of a start that was
+    not sent doesn't, as the start is given up once the worker has fallen silent.
+    """
+    if not may_have_started:
+        await anyio.sleep(seconds)
+        return
+    until = boot_time() + seconds
+    while (left := until - boot_time()) > 0:
+        queued = link.orders.pop_first(StopOrder)
+        if queued is not None:
+            await stop(link, client, queued.task, queued.run)
+            continue
+        with anyio.move_on_after(left):
+            await link.order_added.wait()
+
+
 async def start(link, client, order):
     """Start a run; afterwards the worker has it or certainly never will."""
     key, may_have_started, refusal = (order.task, order.run), False, None
     taken_at, attempt, delays = boot_time(), 0, retry_delays()
     is_counted = False
-    while (end := await _lease_end_of(link, order, may_have_started)) is not None:
-        if key in link.listed_runs:
-            # Its answer was lost or is still under way.
+    while (
+        end := await _lease_end_of(link, client, order, may_have_started)
+    ) is not None:
+        if _is_settled(link, key, may_have_started):
             link.await_reports(key)
             return
         if may_have_started and not is_counted:
             is_counted = True
-            await anyio.sleep(link.count_repeat(order))
+            await _wait(link, client, link.count_repeat(order), may_have_started)
             # A report may have listed the run meanwhile.
             continue
         attempt, is_counted = attempt + 1, False
@@ -135,7 +155,7 @@
             may_have_started = True
         except WorkerNoResponseError as error:
             may_have_started = may_have_started or error.sent
-            await anyio.sleep(next(delays))
+            await _wait(link, client, next(delays), may_have_started)
         except WorkerEndedError as error:
             link.mark_ended(str(error))
         except WorkerRefusedError as error:
@@ -146,11 +166,20 @@
                 return
             if refusal is not Refusal.LEASE_OVER:
                 break
-            await anyio.sleep(RETRY_DELAY_SECONDS)
+            await _wait(link, client, RETRY_DELAY_SECONDS, may_have_started)
     await _settle_refused_start(link, client, order, refusal, may_have_started)
 
 
-async def _lease_end_of(link, order, may_have_started):
+def _is_settled(link, key, may_have_started):
+    """Return whether a run is listed although its start has no answer, or was stopped.
+
+    The answer to the start was lost, or is still under way.
+    """
+    can_not_start = may_have_started and key not in link.unanswered_starts
+    return key in link.listed_runs or can_not_start
+
+
+async def _lease_end_of(link, client, order, may_have_started):
     """Return the end of the lease to send with a start, once there is one.
 
     Return ``None`` if the start is no longer wanted, and if it was not sent before
@@ -167,7 +196,7 @@
                 "start not sent to a silent worker", worker=link.entry.id, **fields
             )
             return None
-        await anyio.sleep(RETRY_DELAY_SECONDS)
+        await _wait(link, client, RETRY_DELAY_SECONDS, may_have_started)
     return None
 
 
