Report the hosts that a new fleet controller leaves alone, and until when

`fleet control acquired` now tells how many hosts are held back and for how many seconds, and the gauge `hosts_held_back` follows their number down to 0; it is 0 also on a daemon that lost the role. Hosts whose pause is over leave the table, so that its size is that of what is held back, not of all hosts ever ordered. When a host may be ordered is unchanged.

--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -106,6 +106,7 @@
         await self.appender.close()
         await self.status_appender.close()
         self.member.drop_holding(TOPIC, 0)
+        self.daemon.metrics.gauge("hosts_held_back", 0)
         logger.info("fleet control lost", epoch=epoch)
 
     def _make_appender(self, topic, producer):
@@ -127,7 +128,7 @@
                 await anyio.sleep(POLL_INTERVAL_SECONDS)
             else:
                 self._set_orderable_times()
-                logger.info("fleet control acquired", epoch=epoch)
+                self._log_acquired(epoch)
                 return True
         return False
 
@@ -145,12 +146,29 @@
         now = boot_time()
         self.orderable_at.update((host, now + pause) for host in self.fold.pending())
 
+    def _held_back(self):
+        """Return the hosts that may not be ordered yet, and from when they may."""
+        now = boot_time()
+        return {host: at for host, at in self.orderable_at.items() if at > now}
+
+    def _log_acquired(self, epoch):
+        now = boot_time()
+        self.orderable_at = self._held_back()
+        logger.info(
+            "fleet control acquired",
+            epoch=epoch,
+            hosts_held_back=len(self.orderable_at),
+            held_back_for=round(max(self.orderable_at.values(), default=now) - now, 1),
+        )
+
     def _is_past_holder_pause(self, host):
         """Return whether no order of an earlier holder can still reach a host."""
         return boot_time() >= self.orderable_at.get(host, 0.0)
 
     async def _poll_until_lost(self, epoch):
         while self._is_holder(epoch) and self.appender.fenced is None:
+            self.orderable_at = self._held_back()
+            self.daemon.metrics.gauge("hosts_held_back", len(self.orderable_at))
             if self._needs_poll():
                 try:
                     await self._poll(epoch)
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -2,6 +2,8 @@
 
 import anyio
 import attrs
+import structlog
+import structlog.testing
 
 from azurelanding.configuration import Configuration, Pool, Queue
 from azurelanding.fleet_workers import HostEntry, HostPhase
@@ -182,3 +184,15 @@
     with anyio.fail_after(seconds):
         while not condition():  # noqa: ASYNC110
             await anyio.sleep(0.01)
+
+
+def capture_lines(test, module):
+    """Return a list to which ``test`` adds the lines that ``module`` logs."""
+    capture = structlog.testing.LogCapture()
+    logger = structlog.wrap_logger(
+        structlog.PrintLogger(),
+        processors=[capture],
+        wrapper_class=structlog.make_filtering_bound_logger(0),
+    )
+    test.patch(module, "logger", logger)
+    return capture.entries
--- a/azurelanding/tests/test_fleet_controller.py
+++ b/azurelanding/tests/test_fleet_controller.py
@@ -3,14 +3,25 @@
 import time
 import types
 
+import anyio
 import testtools
 
-from azurelanding import fleet_records
-from azurelanding.fleet_controller import HOLDER_PAUSE_MARGIN_SECONDS, FleetController
+from azurelanding import fleet_controller, fleet_records
+from azurelanding.fleet_controller import (
+    HOLDER_PAUSE_MARGIN_SECONDS,
+    TOPIC,
+    FleetController,
+)
 from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_records import HostPlan
 from azurelanding.site import Site, StoreSettings, Timing
 from azurelanding.store import StoredRecord
+from azurelanding.tests.platform_world import (
+    World,
+    capture_lines,
+    make_queue,
+    until,
+)
 from azurelanding.utils import MAX_CLOCK_SKEW_SECONDS, boot_time
 
 PAUSE_SECONDS = 3.0
@@ -28,8 +39,8 @@
     return FleetController(daemon, None)
 
 
-def apply_plan(controller, host, seconds_ago, is_ordered=False, is_dropped=False):
-    """Apply a stored plan for ``host``, ordered or dropped ``seconds_ago``."""
+def encode_plan(host, seconds_ago, is_ordered=False, is_dropped=False):
+    """Return the record of a plan for ``host``, ordered or dropped ``seconds_ago``."""
     closed_at = time.time() - seconds_ago if is_ordered or is_dropped else 0.0
     plan = HostPlan(
         host,
@@ -40,7 +51,12 @@
         is_dropped=is_dropped,
         closed_at=closed_at,
     )
-    key, value = fleet_records.encode_record(plan)
+    return fleet_records.encode_record(plan)
+
+
+def apply_plan(controller, host, seconds_ago, **fields):
+    """Apply a stored plan for ``host``, ordered or dropped ``seconds_ago``."""
+    key, value = encode_plan(host, seconds_ago, **fields)
     offset = controller.fold.offsets.get(key, 0) + 1
     controller.fold.apply_stored(StoredRecord(key, value, offset))
 
@@ -94,3 +110,20 @@
         self.assertEqual(["a"], list(controller.fold.pending()))
         apply_plan(controller, "a", 1.0, is_dropped=True)
         self.assertEqual([], list(controller.fold.pending()))
+
+    def test_hosts_that_a_new_fleet_controller_leaves_alone_are_reported(self):
+        async def scenario(world):
+            metrics = world.daemons[0].metrics
+            for held_back in (b"1.0", b"0.0"):
+                gauge = b"hosts_held_back " + held_back
+                await until(lambda gauge=gauge: gauge in metrics.text())
+
+        world = World(holder_pause=PAUSE_SECONDS)
+        world.configure(make_queue())
+        world.store.put(TOPIC, *encode_plan("new", 5.0, is_ordered=True))
+        world.store.put(TOPIC, *encode_plan("old", LONG_AGO_SECONDS, is_ordered=True))
+        lines = capture_lines(self, fleet_controller)
+        anyio.run(world.run, scenario)
+        (acquired,) = (ln for ln in lines if ln["event"] == "fleet control acquired")
+        self.assertEqual(1, acquired["hosts_held_back"])
+        self.assertTrue(0.0 < acquired["held_back_for"] <= LONG_AGO_SECONDS - 5.0)
--- a/azurelanding/tests/test_link_watch.py
+++ b/azurelanding/tests/test_link_watch.py
@@ -2,7 +2,6 @@
 
 import anyio
 import anyio.abc
-import structlog
 import testtools
 
 from azurelanding import link_watch, loop_watch, pool_stops, worker_link, worker_orders
@@ -16,6 +15,7 @@
 from azurelanding.tests.platform_world import (
     LEASE_SECONDS,
     World,
+    capture_lines,
     make_job,
     make_link,
     make_queue,
@@ -39,18 +39,6 @@
     return metrics.registry.get_sample_value(f"azurelanding_{name}")
 
 
-def capture_lines(test, module):
-    """Return a list to which ``test`` adds the lines that ``module`` logs."""
-    capture = structlog.testing.LogCapture()
-    logger = structlog.wrap_logger(
-        structlog.PrintLogger(),
-        processors=[capture],
-        wrapper_class=structlog.make_filtering_bound_logger(0),
-    )
-    test.patch(module, "logger", logger)
-    return capture.entries
-
-
 def make_start(age=0.0, run=1):
     """Return a start order that was placed ``age`` seconds ago."""
     return StartOrder(TASK, run, "spec", placed_at=boot_time() - age)
