Look hosts of a wave up by name, and count a wave once for each pass

The fleet controller compared each host of a wave with each one that had begun, and walked the whole wave for each host that was about to be ordered, in one go, four times a second. The same event loop extends leases and joins the groups: with large waves leases would run out, and the role and the daemon's pools would move in the middle of the wave.

Progress is stored as before, sorted by name.

--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -357,10 +357,17 @@
         is_late = boot_time() > begun + wave.duration * LATE_WAVE_SHARE
         return DRAIN_TIMEOUT_SECONDS / 4 if is_late else DRAIN_TIMEOUT_SECONDS
 
-    def _wave_allows_order(self, plan):
-        """Return whether a wave allows one more host in maintenance."""
+    def _wave_allows_order(self, plan, in_maintenance):
+        """Return whether a wave allows one more host in maintenance.
+
+        ``in_maintenance`` holds those that are, by the waves asked about so far.
+        """
         wave = self.daemon.operator.waves.get(plan.wave)
-        return wave is None or len(self._hosts_in_maintenance(wave)) < wave.at_once
+        if wave is None:
+            return True
+        if plan.wave not in in_maintenance:
+            in_maintenance[plan.wave] = self._hosts_in_maintenance(wave)
+        return len(in_maintenance[plan.wave]) < wave.at_once
 
     def _hosts_in_maintenance(self, wave):
         """Return the hosts of a wave that are, or may be, in maintenance."""
@@ -381,21 +388,26 @@
 
     async def _execute_plans(self, placed, epoch):
         """Send the orders that are due, then record them in one append."""
-        ordered = []
+        ordered, in_maintenance = [], {}
         try:
             for plan in self.fold.pending().values():
-                if self._is_order_due(plan, placed) and await self._order(plan, epoch):
+                if not self._is_order_due(plan, placed, in_maintenance):
+                    continue
+                if plan.wave is not None:
+                    # The order may be carried out even if it is not answered.
+                    in_maintenance.setdefault(plan.wave, set()).add(plan.host)
+                if await self._order(plan, epoch):
                     ordered.append(plan)
         finally:
             await self._record_orders(ordered)
 
-    def _is_order_due(self, plan, placed):
+    def _is_order_due(self, plan, placed, in_maintenance):
         return (
             plan.host in self.hosts
             and self._is_past_holder_pause(plan.host)
             and boot_time() >= self.busy_until.get(plan.host, 0.0)
             and self._is_drain_over(plan, placed)
-            and self._wave_allows_order(plan)
+            and self._wave_allows_order(plan, in_maintenance)
         )
 
     async def _order(self, plan, epoch):
@@ -427,8 +439,7 @@
         records = [fleet_records.encode_record(plan) for plan in ordered]
         for number in sorted({plan.wave for plan in plans if plan.wave is not None}):
             begun = {plan.host for plan in plans if plan.wave == number}
-            begun.update(self.fold.progress(number).begun)
-            progress = WaveProgress(number, tuple(sorted(begun)))
+            progress = WaveProgress(number, self.fold.progress(number).begun | begun)
             records.append(fleet_records.encode_record(progress))
         await self._store(records)
         self.accepted_plans.update((p.host, p) for p in plans if p.wave is not None)
--- a/azurelanding/fleet_records.py
+++ b/azurelanding/fleet_records.py
@@ -31,7 +31,7 @@
     """The hosts of a wave whose maintenance has begun, and whether it is complete."""
 
     wave: int
-    begun: tuple[str, ...] = ()
+    begun: frozenset[str] = frozenset()
     is_complete: bool = False
 
 
@@ -46,7 +46,7 @@
     """Return the key and the value of ``record``."""
     if isinstance(record, HostPlan):
         return f"host/{record.host}", msgspec.json.encode(record)
-    return f"wave/{record.wave}", msgspec.json.encode(record)
+    return f"wave/{record.wave}", msgspec.json.encode(record, order="deterministic")
 
 
 def decode_record(key, value):
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -3,11 +3,13 @@
 import unittest.mock
 
 import anyio
+import msgspec
 import testtools
 
 from azurelanding import (
     evacuation,
     filler_throttle,
+    fleet_records,
     host_choice,
     job_placement,
     pool_sizes,
@@ -143,9 +145,26 @@
     def test_hosts_already_begun_are_not_planned_again(self):
         hosts = make_hosts({"a": 2})
         wave = WaveRequest(1, ("a0", "a1"), 30.0, 2)
-        progress = WaveProgress(1, ("a0",))
+        progress = WaveProgress(1, frozenset({"a0"}))
         self.assertEqual(["a1"], self.plan(wave, hosts, progress=progress))
 
+    def test_hosts_of_a_wave_are_not_each_compared_with_all_that_have_begun(self):
+        # With thousands of hosts the daemon stood still for most of a second.
+        class Name(str):
+            __hash__ = str.__hash__
+            comparisons = 0
+
+            def __eq__(self, other):
+                Name.comparisons += 1
+                return str.__eq__(self, other)
+
+        hosts = make_hosts({"a": 400})
+        wave = WaveRequest(1, tuple(Name(name) for name in hosts), 30.0, 2)
+        value = msgspec.json.encode({"wave": 1, "begun": list(hosts)[:200]})
+        _, _, progress = fleet_records.decode_record("wave/1", value)
+        self.assertEqual(2, len(self.plan(wave, hosts, progress=progress)))
+        self.assertLess(Name.comparisons, 8 * len(hosts))
+
 
 class PoolSizesTest(testtools.TestCase):
     """Choice of the hosts to move between pools."""
--- a/azurelanding/tests/test_fleet_controller.py
+++ b/azurelanding/tests/test_fleet_controller.py
@@ -213,7 +213,29 @@
         self.assertEqual(
             (set(), set()), (controller.fold.ended(), controller.fold.cordoned())
         )
-        self.assertEqual(("h",), controller.fold.progress(1).begun)
+        self.assertEqual({"h"}, controller.fold.progress(1).begun)
+
+    def test_hosts_of_a_wave_are_not_all_looked_at_for_each_order(self):
+        # With thousands of hosts each pass took seconds, in which no lease is extended.
+        class Hosts(dict):
+            looks = 0
+
+            def __contains__(self, name):
+                Hosts.looks += 1
+                return super().__contains__(name)
+
+        controller = self.make_controller(mock.Mock(maintain=mock.AsyncMock()))
+        names = [f"h{number}" for number in range(40)]
+        wave = WaveRequest(1, tuple(names), 20.0, 10)
+        controller.daemon.operator.waves = {1: wave}
+        controller.hosts = Hosts()
+        for name in names:
+            controller.hosts[name] = HostEntry(name, "cuts", HostPhase.UP, "w1")
+            plan = HostPlan(name, "w1", time.time(), wave=1)
+            controller.fold.plans[name] = plan
+        anyio.run(controller._execute_plans, {}, 1)
+        self.assertEqual(10, controller.client.maintain.await_count)
+        self.assertLess(Hosts.looks, 4 * len(names))
 
     def test_order_that_began_the_maintenance_ends_the_worker(self):
         hosts = WaveHosts(lost_answers=0)
@@ -221,4 +243,4 @@
         self.poll(controller, 3)
         self.assertEqual(1, hosts.orders)
         self.assertEqual({"w1"}, controller.fold.ended())
-        self.assertEqual(("h",), controller.fold.progress(1).begun)
+        self.assertEqual({"h"}, controller.fold.progress(1).begun)
