Request a refused page of the host list again, rather than the whole list

The platform takes a limited number of readings a second. A list of hosts with more pages than that was refused in the middle, thrown away and begun anew 0.25 s later, so that it was never complete: no host moves and no wave begins. A late page had the same effect.

A page after the first is now requested again after growing delays, up to three times; the pages before it are kept. A first page has nothing to keep and fails as before.

--- a/azurelanding/platform/hosts.py
+++ b/azurelanding/platform/hosts.py
@@ -6,6 +6,7 @@
 import http
 import urllib.parse
 
+import anyio
 import msgspec
 import structlog
 
@@ -18,6 +19,8 @@
 
 CALL_TIMEOUT_SECONDS = 1.0
 """Timeout of an API call; a few hundred times the usual response time."""
+PAGE_RETRY_DELAYS_SECONDS = (0.25, 0.5, 1.0)
+"""Delays before a page of the host list is requested again."""
 HOST_PHASES = {
     "up": HostPhase.UP,
     "moving": HostPhase.MOVING,
@@ -66,17 +69,32 @@
         except msgspec.DecodeError as error:
             raise HostCallError(f"{target}: {error}") from error
 
+    async def _page(self, token):
+        """Return the page of the host list at ``token``, the first one without."""
+        query = f"?{urllib.parse.urlencode({'pageToken': token})}" if token else ""
+        status, page = await self._call("GET", f"/v1/machines{query}")
+        if status != http.HTTPStatus.OK:
+            raise HostCallError(f"the host list was refused with status {status}")
+        return page
+
+    async def _later_page(self, token):
+        """Return a page after the first, again requested if it is lost or refused."""
+        for delay in PAGE_RETRY_DELAYS_SECONDS:
+            try:
+                return await self._page(token)
+            except HostCallError as error:
+                logger.info("host list page requested again", reason=str(error))
+                await anyio.sleep(delay)
+        return await self._page(token)
+
     async def list_hosts(self):
         """Return the ``HostEntry`` of each host, by name.
 
-        Raises ``HostCallError``.
+        The platform limits the pages in a second, so the list of a large fleet is
+        refused in the middle: the pages before that are kept. Raises ``HostCallError``.
         """
-        hosts, token = {}, ""
+        hosts, page = {}, await self._page("")
         while True:
-            query = f"?{urllib.parse.urlencode({'pageToken': token})}" if token else ""
-            status, page = await self._call("GET", f"/v1/machines{query}")
-            if status != http.HTTPStatus.OK:
-                raise HostCallError(f"the host list was refused with status {status}")
             for row in page.get("machines", ()):
                 host = decode_host(row)
                 if host is not None:
@@ -84,6 +102,7 @@
             token = page.get("nextPageToken") or ""
             if not token:
                 return hosts
+            page = await self._later_page(token)
 
     async def _order(self, name, values, epoch):
         headers = (
