Repeat refused reads of a stream no more often than reads are made

A daemon reads the streams that it only follows every 0.8 s, and repeated a refused read after 0.2 s. The store refuses reads beyond a rate of all daemons together, so that once it is exceeded, each daemon asks four times as often, and the overload keeps itself going; callers get 503 for the states of their jobs, and no daemon that starts becomes ready. At 180 daemons and 16 partitions these are 3,600 reads a second, and 14,400 once refused.

A refused read now waits as long as a served one. Streams of controlled pools, which are read without a delay, are repeated after 0.2 s as before, and so is a read without an answer. The price: a follower notices up to 0.6 s later that a store that refused connections is back.

--- a/azurelanding/tests/test_topic_follower.py
+++ b/azurelanding/tests/test_topic_follower.py
@@ -148,6 +148,36 @@
         self.assertEqual(sorted(applied), sorted(read))
 
 
+class RefusingClient:
+    """A client of a store that refuses each read, which it counts."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def read(self, *arguments):
+        self.reads += 1
+        raise StoreRefusedError("too many reads")
+
+    newest = read
+
+
+class RefusedReadTest(testtools.TestCase):
+    """Reads that the store refuses because there are too many."""
+
+    def test_refused_reads_are_repeated_no_more_often_than_others_are_made(self):
+        # Repeated four times as often, they kept the store over its limit.
+        async def main():
+            client = RefusingClient()
+            follower = TopicFollower(
+                "jobs", 0, lambda: client, ListFold(), lambda: 0.8, 1.0
+            )
+            with anyio.move_on_after(2.0):
+                await follower.run()
+            return client.reads
+
+        self.assertLessEqual(anyio.run(main), 3)
+
+
 class ReloadTest(testtools.TestCase):
     """A load while the records that it replaces are changed by this daemon."""
 
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -8,6 +8,7 @@
     OffsetOutOfRangeError,
     StoreError,
     StoreNoResponseError,
+    StoreRefusedError,
 )
 from azurelanding.utils import Notifier
 
@@ -259,6 +260,11 @@
         while True:
             try:
                 await self._read_next()
+            except StoreRefusedError as error:
+                self._log_reachability(error)
+                # More reads than the store serves would never let it recover.
+                await anyio.sleep(max(RETRY_DELAY_SECONDS, self.read_delay()))
+                continue
             except StoreError as error:
                 self._log_reachability(error)
                 await anyio.sleep(RETRY_DELAY_SECONDS)
