Acknowledge no ends of a worker over a connection that was just opened

A worker started again under its id between two hold calls, so no call failed. The next call named the number of the last end of the earlier incarnation, and the later one dropped an end that nobody had read. The report then showed neither the run nor its end, so the run counted as lost. Between two calls there is up to a second while ends wait to be stored, and a start that was queued may run and end in that time.

A connection ends with the process that answers over it. So a call over the same connection as the report before reaches the incarnation that numbered the ends, or nobody; a call over a new one now acknowledges no ends, and the next one does.

It costs one short call for each new connection.

--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -55,6 +55,15 @@
         ):
             await self._drop()
 
+    async def is_open(self):
+        """Return whether the next request goes over the connection of the last one.
+
+        A peer that has started again since answers over another one.
+        """
+        async with self.lock:
+            await self._drop_if_closed()
+            return self.connection is not None
+
     def _was_connected(self):
         """Return whether the connection was open, so that a request may be sent."""
         return self.connection is None or self.connection.info() != CONNECT_FAILED
--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -210,8 +210,11 @@
 
         ``lease_end`` is in seconds of the worker's clock; without it the lease stays as
         it is. The worker drops its ended runs up to number ``last_seen``, and waits
-        up to ``wait`` seconds for a run to end.
+        up to ``wait`` seconds for a run to end. On a new connection it drops none, as
+        another incarnation may answer, with numbers of its own.
         """
+        if not await self.connection.is_open():
+            last_seen = 0
         values = {"lastSeen": last_seen, "waitMs": int(wait * MS_PER_SECOND)}
         if lease_end is not None:
             values["deadlineMs"] = int(lease_end * MS_PER_SECOND)
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -120,3 +120,35 @@
             other.connect(listener.getsockname())
             address = "{}:{}".format(*listener.getsockname())
             self.assertGreater(anyio.run(stop, address), 1.0)
+
+
+class RestartTest(testtools.TestCase):
+    """A worker that starts again between two calls, at its address and under its id."""
+
+    def test_no_ends_of_a_later_incarnation_are_dropped_unread(self):
+        # Tasks that had ended there were started again.
+        dropped_up_to = []
+
+        async def serve(scope, receive, send):
+            values = msgspec.json.decode(await read_body(receive, 1 << 20))
+            dropped_up_to.append(values["lastSeen"])
+            await send_reply(send, 200, (), b'{"clockMs": 1}')
+
+        async def main():
+            server = HttpServer.from_config("127.0.0.1:0", serve)
+            entry = make_entry(server.address)
+            client = WorkerClient.from_config(entry, 1, LEASE_SECONDS, lambda: None)
+            async with anyio.create_task_group() as task_group:
+                server.start(task_group)
+                for last_seen in (0, 57):
+                    await client.hold(last_seen)
+                await server.close()
+                server = HttpServer.from_config(entry.address, serve)
+                server.start(task_group)
+                for _ in range(2):
+                    await client.hold(57)
+                await client.close()
+                await server.close()
+
+        anyio.run(main)
+        self.assertEqual([0, 57, 0, 57], dropped_up_to)
