Search the workers once for each request of start permits, not in each pass

In a queue that needs start permits, each pass looked at and sorted all workers of the pool for each step that waited for permits, to have the next request at hand, though the advice service serves one request at a time. While a pass lasts the event loop of the daemon extends no lease and answers no caller, so at ten times the size callers see it as late or refused requests, late starts, and leases that run out.

A pass now only notes which steps need more permits. The task that sends the requests searches the workers when a request can go out, for the step that it is for; a step that has no worker left to ask about is not searched again for 0.1 s.

--- a/azurelanding/start_permits.py
+++ b/azurelanding/start_permits.py
@@ -19,6 +19,9 @@
 the start order reaches the worker."""
 RETRY_DELAY_SECONDS = 0.2
 """Delay after a failed request."""
+SEARCH_DELAY_SECONDS = 0.1
+"""Delay between two searches for a step that has no worker left to request a permit
+for; a worker that joins the pool takes many times as long."""
 
 
 class AdviceError(Exception):
@@ -30,15 +33,16 @@
     """The start permits of one step.
 
     ``granted`` maps workers to a ticket and the ``boot_time`` until which it is used.
-    ``refused`` holds the workers that got no permit, ``wanted`` the workers to request
-    permits for next; there are none while a request of the step is in flight.
+    ``refused`` holds the workers that got no permit. ``needs_more`` is whether too few
+    workers are usable, ``search_at`` the ``boot_time`` from which others are searched.
     """
 
     ready: object
     advice: object
     granted: dict = attrs.field(factory=dict)
     refused: set = attrs.field(factory=set)
-    wanted: list = attrs.field(factory=list)
+    needs_more: bool = False
+    search_at: float = 0.0
     is_requested: bool = False
 
 
@@ -46,13 +50,16 @@
     """The start permits of a pool's steps; one task sends one request at a time.
 
     The pools of a daemon take turns by ``client.turn``. ``find_advice(queue)`` returns
-    the ``Advice`` of a queue, or ``None``.
+    the ``Advice`` of a queue, or ``None``. ``capacities`` holds the free capacity of
+    the usable workers as the last pass left it. They are searched once for each
+    request, as a pass has many steps that wait.
     """
 
     def __init__(self, client, find_advice):
         self.client = client
         self.find_advice = find_advice
         self.steps = {}
+        self.capacities = {}
         self.requests = Notifier()
         self.on_answer = None
 
@@ -65,11 +72,12 @@
         advice = self.find_advice(ready.state.job.queue)
         if advice is None:
             return capacities.values()
-        self.on_answer = on_answer
+        self.on_answer, self.capacities = on_answer, capacities
         permits = self.steps.get(ready.key)
         if permits is None:
             permits = self.steps[ready.key] = StepPermits(ready, advice)
         now = boot_time()
+        permits.ready = ready
         permits.granted = {
             worker: permit
             for worker, permit in permits.granted.items()
@@ -78,28 +86,29 @@
         usable_workers = [
             capacities[worker] for worker in permits.granted if worker in capacities
         ]
-        self._update_wanted(permits, ready, capacities)
+        fitting = sum(capacity.fits(ready.step) for capacity in usable_workers)
+        permits.needs_more = (
+            fitting < len(ready.tasks)
+            and not permits.is_requested
+            and now >= permits.search_at
+        )
+        if permits.needs_more:
+            self.requests.notify()
         return usable_workers
 
-    def _update_wanted(self, permits, ready, capacities):
-        fitting = [
-            capacity for capacity in capacities.values() if capacity.fits(ready.step)
-        ]
-        useful = sum(capacity.id in permits.granted for capacity in fitting)
-        if permits.is_requested or useful >= len(ready.tasks):
-            permits.wanted = []
-            return
+    def _untried(self, permits):
+        """Return the workers to request permits of a step for next."""
         untried = [
             capacity
-            for capacity in fitting
-            if capacity.id not in permits.granted and capacity.id not in permits.refused
+            for capacity in self.capacities.values()
+            if capacity.id not in permits.granted
+            and capacity.id not in permits.refused
+            and capacity.fits(permits.ready.step)
         ]
         untried.sort(
             key=lambda capacity: (capacity.penalty, -capacity.cores, capacity.id)
         )
-        permits.wanted = [capacity.id for capacity in untried[:WORKERS_PER_REQUEST]]
-        if permits.wanted:
-            self.requests.notify()
+        return [capacity.id for capacity in untried[:WORKERS_PER_REQUEST]]
 
     def ticket(self, ready, worker):
         """Return the ticket for a step on a worker, empty if none is needed."""
@@ -119,23 +128,33 @@
         for key in [key for key in self.steps if key[0] not in active]:
             del self.steps[key]
 
-    def _next_wanted(self):
-        return next(
-            (permits for permits in self.steps.values() if permits.wanted), None
-        )
+    def _is_any_needed(self):
+        return any(permits.needs_more for permits in self.steps.values())
+
+    def _next_request(self):
+        """Return the next step to request permits of and its workers, or ``None``."""
+        for permits in self.steps.values():
+            if not permits.needs_more:
+                continue
+            permits.needs_more = False
+            workers = self._untried(permits)
+            if workers:
+                return permits, workers
+            permits.search_at = boot_time() + SEARCH_DELAY_SECONDS
+        return None
 
     async def run(self):
-        """Request the wanted permits until cancelled."""
+        """Request the permits that are needed until cancelled."""
         while True:
-            await self.requests.wait_until(lambda: self._next_wanted() is not None)
+            await self.requests.wait_until(self._is_any_needed)
             async with self.client.turn:
-                # The step that was wanted before this turn may have started or ended.
-                permits = self._next_wanted()
-                if permits is not None:
-                    await self._request(permits)
+                # The step that needed some before this turn may have started or ended.
+                found = self._next_request()
+                if found is not None:
+                    await self._request(*found)
 
-    async def _request(self, permits):
-        workers, permits.wanted, permits.is_requested = permits.wanted, [], True
+    async def _request(self, permits, workers):
+        permits.is_requested = True
         job, occurrence, number = permits.ready.key
         sent_at = boot_time()
         try:
--- a/azurelanding/tests/test_start_permits.py
+++ b/azurelanding/tests/test_start_permits.py
@@ -5,16 +5,22 @@
 import anyio
 import msgspec
 import testtools
+from testtools.matchers import GreaterThan, LessThan
 
 from azurelanding.configuration import Advice
 from azurelanding.http_server import read_body, send_reply
 from azurelanding.platform import advice as advice_module
 from azurelanding.platform.main import make_service_clients
 from azurelanding.site import Site, StoreSettings
-from azurelanding.start_permits import AdviceError, StartPermits
+from azurelanding.start_permits import (
+    SEARCH_DELAY_SECONDS,
+    AdviceError,
+    StartPermits,
+)
 from azurelanding.tests.platform_world import make_job, make_step, until
 from azurelanding.tests.test_job_placement import make_capacity, ready
 from azurelanding.tests.test_platform_calls import serve
+from azurelanding.utils import boot_time
 from azurelanding.worker_health import SUSPEND_AFTER_FAILURES, WorkerFailureTracker
 
 ADVICE = Advice(decision=0.01, per_worker=0.001, valid=5.0)
@@ -46,6 +52,18 @@
         pass
 
 
+class CountedCapacities(dict):
+    """Free capacity by worker; adds the number of workers of each walk to ``walks``."""
+
+    def __init__(self, names):
+        super().__init__((name, make_capacity(name)) for name in names)
+        self.walks = []
+
+    def values(self):
+        self.walks.append(len(self))
+        return super().values()
+
+
 class StartPermitsTest(testtools.TestCase):
     """Steps of queues that need start permits."""
 
@@ -112,6 +130,56 @@
         anyio.run(main)
         self.assertEqual([["w"]], service.calls)
 
+    def test_workers_are_searched_once_for_each_request_not_for_each_waiting_step(self):
+        service = AdviceStandIn([])
+        steps = [ready(make_job(f"{number:016x}"))[0] for number in range(50)]
+        capacities = CountedCapacities(f"w{number}" for number in range(240))
+
+        async def main():
+            permits = StartPermits(service, lambda queue: ADVICE)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(permits.run)
+                for _ in range(10):
+                    for step in steps:
+                        permits.usable_workers(step, capacities, lambda: None)
+                    await anyio.sleep(0.2 * AdviceStandIn.seconds)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertThat(len(service.calls), GreaterThan(0))
+        self.assertEqual(len(service.calls), len(capacities.walks))
+
+    def test_step_without_workers_left_is_searched_again_only_after_a_delay(self):
+        service, capacities = AdviceStandIn([]), CountedCapacities(["w"])
+        (step,) = ready(make_job())
+
+        async def main():
+            permits = StartPermits(service, lambda queue: ADVICE)
+
+            async def look(until_calls):
+                while len(service.calls) < until_calls:
+                    permits.usable_workers(step, capacities, lambda: None)
+                    await anyio.sleep(0.002)
+
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(permits.run)
+                with anyio.fail_after(5):
+                    await look(1)
+                    await anyio.sleep(2 * AdviceStandIn.seconds)
+                    capacities.walks.clear()
+                    began_at = boot_time()
+                    for _ in range(20):
+                        permits.usable_workers(step, capacities, lambda: None)
+                        await anyio.lowlevel.checkpoint()
+                    delays = (boot_time() - began_at) / SEARCH_DELAY_SECONDS
+                    self.assertThat(len(capacities.walks), LessThan(2 + delays))
+                    capacities["v"] = make_capacity("v")
+                    await look(2)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual([["w"], ["v"]], service.calls)
+
 
 class QueueOfCallsTest(testtools.TestCase):
     """The pools of one daemon, whose calls the advice service serves one at a time."""
