Tighten the bounds of a search only after a task was placed

Found by reading. A pass that could not place all tasks of a step looked at all workers for the most that any of them has free, to skip the steps that fit nowhere. It did so for each step that waits for a permit, a label or another rack, though nothing had been placed since the last look.

The bounds are tightened only if a task was placed since. Otherwise they are the same.

test_bounds_are_tightened_only_after_tasks_were_placed failed before: 37 looks where there may be three.

--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -383,7 +383,7 @@
             )
         ]
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
-        starts = []
+        starts, tightened_after = [], 0
         for ready in ready_steps:
             if not bounds.may_fit(ready.step.need, ready.step.fills):
                 continue
@@ -399,8 +399,9 @@
             for placed in placed_tasks:
                 starts.append(self._start(draft, ready, placed))
                 self._count_start(starts[-1][1])
-            if len(placed_tasks) < len(ready.tasks):
+            if len(placed_tasks) < len(ready.tasks) and len(starts) > tightened_after:
                 bounds.tighten()
+                tightened_after = len(starts)
         left = sum(len(ready.tasks) for ready in ready_steps) - len(starts)
         is_spent = not self.start_budget.affordable(self, 1, boot_time())
         self._record_held_back(left if is_spent else 0)
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -6,8 +6,9 @@
 import testtools
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
+from testtools.matchers import LessThan
 
-from azurelanding import job_ends
+from azurelanding import job_ends, job_placement
 from azurelanding.job_draft import JobDraft
 from azurelanding.jobs import JobOutcome, TaskId, TaskState, task_ids
 from azurelanding.ledger import (
@@ -263,6 +264,24 @@
         anyio.run(self.controller._decide)
         self.assertEqual([], visits)
 
+    def test_bounds_are_tightened_only_after_tasks_were_placed(self):
+        self.controller.permits.find_advice = lambda queue: None
+        for number in range(200, 220):
+            step = make_step(1, label="none" if number % 10 else "")
+            job = make_job(f"{number:016x}", (step, step), priority=number)
+            self.controller.ledger.apply(("job", job.id), JobSubmitted(job), number)
+        tightened, tighten = [], job_placement.FreeBounds.tighten
+
+        def count_tightening(bounds):
+            tightened.append(bounds)
+            tighten(bounds)
+
+        self.patch(job_placement.FreeBounds, "tighten", count_tightening)
+        draft = JobDraft(self.controller.ledger, "cuts")
+        starts = self.controller._place(draft)
+        self.assertEqual(4, len(starts))
+        self.assertThat(len(tightened), LessThan(4))
+
     def test_free_capacity_visits_no_runs(self):
         draft = JobDraft(self.controller.ledger, "cuts")
         self.controller._free_capacity(draft, ())
