Find queues by index rather than walk all of them for each request and step

Found by reading. Each pass of a controller walked the queues of the configuration for each step that may start, to know whether it needs start permits, and each request of a caller walked them to find its queue.

A configuration now indexes its queues by name, and by host and path prefix. The longest prefix is found by the lengths that occur, of which there are few; of two alike the first counts, as before.

test_queues_are_not_walked_for_each_request_and_each_waiting_step failed before: one walk where there may be none. A random test compares the look-up with a walk.

--- a/azurelanding/configuration.py
+++ b/azurelanding/configuration.py
@@ -52,23 +52,57 @@
     standby: bool = False
 
 
+def _index_by_name(configuration):
+    return {queue.name: queue for queue in reversed(configuration.queues)}
+
+
+def _index_by_path(configuration):
+    """Return the queues by host and path prefix; of two alike the first counts."""
+    return {
+        (queue.host, queue.path_prefix): queue
+        for queue in reversed(configuration.queues)
+    }
+
+
+def _prefix_lengths(configuration):
+    lengths = {len(queue.path_prefix) for queue in configuration.queues}
+    return tuple(sorted(lengths, reverse=True))
+
+
+def _computed(compute):
+    """Return a field that ``compute(configuration)`` sets from the other fields."""
+    factory = attrs.Factory(compute, takes_self=True)
+    return attrs.field(default=factory, init=False, eq=False, repr=False)
+
+
 @attrs.frozen
 class Configuration:
-    """One version of the operator's configuration; ``max_body`` is in bytes."""
+    """One version of the operator's configuration; ``max_body`` is in bytes.
+
+    ``prefix_lengths`` holds the lengths of the queues' path prefixes, the longest
+    first.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: dict[str, Pool]
     max_body: int = DEFAULT_MAX_BODY_BYTES
+    queues_by_name: dict[str, Queue] = _computed(_index_by_name)
+    queues_by_path: dict[tuple[str, str], Queue] = _computed(_index_by_path)
+    prefix_lengths: tuple[int, ...] = _computed(_prefix_lengths)
 
     def find_queue(self, host, path):
         """Return the queue with the longest prefix of ``path``, or ``None``."""
-        fitting = [
-            queue
-            for queue in self.queues
-            if queue.host == host and path.startswith(queue.path_prefix)
-        ]
-        return max(fitting, key=lambda queue: len(queue.path_prefix), default=None)
+        for length in self.prefix_lengths:
+            queue = self.queues_by_path.get((host, path[:length]))
+            if queue is not None:
+                return queue
+        return None
+
+    def find_advice(self, queue_name):
+        """Return the ``Advice`` of a queue, or ``None``."""
+        queue = self.queues_by_name.get(queue_name)
+        return None if queue is None else queue.advice
 
     def pools_in_use(self):
         """Return the names of the pools that run at least one queue."""
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -195,10 +195,7 @@
 
     def find_advice(self, queue_name):
         """Return the ``Advice`` of a queue, or ``None``."""
-        for queue in self.operator.configuration.queues:
-            if queue.name == queue_name:
-                return queue.advice
-        return None
+        return self.operator.configuration.find_advice(queue_name)
 
     def make_start_permits(self):
         """Return the start permits of one pool."""
