Keep workers by pool and active jobs by pool and queue

Each pass of a controller walked all registered workers for those of its pool; the count of a queue's waiting jobs, which callers ask for, and the assignment of pools walked all active jobs of each partition, the sizing of each pool those of its partition. All of that grows with the whole site. Callers could see it as late answers, as the event loop that answers them and extends the leases is held up meanwhile.

The registry now keeps the workers by pool, and the ledger the active jobs by pool and those that have started no task by queue, as records arrive.

test_pass_visits_no_workers_of_other_pools and test_queries_of_a_pool_or_a_queue_visit_no_other_jobs failed before. The random histories compare what is kept with walks over all jobs.

--- a/azurelanding/fleet_workers.py
+++ b/azurelanding/fleet_workers.py
@@ -65,11 +65,13 @@
 
     A host has one incarnation at a time: once a later one has registered, the earlier
     ones have ended, even if nobody could reach them. ``newest_by_host`` holds the
-    latest entry of each host, ``ended`` the ids of earlier incarnations.
+    latest entry of each host, ``ended`` the ids of earlier incarnations, and ``pools``
+    the workers by pool.
     """
 
     def __init__(self):
         self.workers = {}
+        self.pools = {}
         self.changes = 0
         self.newest_by_host = {}
         self.ended = collections.OrderedDict()
@@ -77,19 +79,27 @@
     def clear(self):
         """Drop all workers before they are read again from the store."""
         self.workers = {}
+        self.pools = {}
         self.changes += 1
 
     def put(self, worker_id, entry):
         """Set the entry of a worker; ``None`` removes it."""
-        if self.workers.get(worker_id) == entry:
+        known = self.workers.get(worker_id)
+        if known == entry:
             return
         self.changes += 1
-        if entry is None:
-            self.workers.pop(worker_id, None)
-        else:
+        if known is not None and (entry is None or entry.pool != known.pool):
+            self._remove(known)
+        if entry is not None:
             self.workers[worker_id] = entry
+            self.pools.setdefault(entry.pool, {})[worker_id] = entry
             self._record_incarnation(entry)
 
+    def _remove(self, entry):
+        del self.workers[entry.id], self.pools[entry.pool][entry.id]
+        if not self.pools[entry.pool]:
+            del self.pools[entry.pool]
+
     def _record_incarnation(self, entry):
         if not entry.host:
             return
@@ -111,4 +121,4 @@
 
     def in_pool(self, pool):
         """Return the registered workers of a pool, by id."""
-        return {name: w for name, w in self.workers.items() if w.pool == pool}
+        return dict(self.pools.get(pool, ()))
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -117,7 +117,8 @@
     that have runs but no entry in the registry, and each of these to the time since
     when. ``pools`` holds the ``PoolJobs`` of each pool, ``positions`` the next
     ``JobState.position``, and ``placed_versions`` changes with the runs in ``placed``
-    on each worker.
+    on each worker. ``unstarted`` maps each queue to its jobs that have started no task
+    and may start some.
     """
 
     def __init__(self):
@@ -136,6 +137,7 @@
         self.pools = collections.defaultdict(PoolJobs)
         self.positions = itertools.count()
         self.placed_versions = {}
+        self.unstarted = collections.defaultdict(set)
 
     def apply(self, key, record, offset):
         """Apply one record, or drop its key if ``record`` is ``None``.
@@ -199,14 +201,29 @@
         if work is not None or state.job.steps:
             state.position = next(self.positions)
             self.active[job_id] = state
-            self.pools[state.job.pool].put(state)
+            self._note_change(state)
+
+    def _note_change(self, state):
+        """Note that an active job was added or has changed."""
+        self.pools[state.job.pool].put(state)
+        if state.tasks or state.is_over:
+            self.unstarted[state.job.queue].discard(state.job.id)
+        else:
+            self.unstarted[state.job.queue].add(state.job.id)
+
+    def _remove(self, job_id):
+        """Remove a job from those that are active."""
+        state = self.active.pop(job_id, None)
+        if state is not None:
+            self.pools[state.job.pool].remove(job_id)
+            self.unstarted[state.job.queue].discard(job_id)
 
     def _cancel(self, record):
         state = self.jobs[record.job]
         if state.cancelled_at is None:
             state.cancelled_at = record.at
             if record.job in self.active:
-                self.pools[state.job.pool].put(state)
+                self._note_change(state)
 
     def _set_task(self, record):
         state = self.active.get(record.task.job)
@@ -215,7 +232,7 @@
         pool = self.pools[state.job.pool]
         self._index_runs(pool, record.task, state.task(record.task), -1)
         state.set_task(record.task, record.state)
-        pool.put(state)
+        self._note_change(state)
         self._index_runs(pool, record.task, record.state, 1)
 
     def _index_runs(self, pool, task_id, task, sign):
@@ -234,21 +251,18 @@
         state = self.jobs[record.job]
         if state.outcome is not None:
             return
-        self.active.pop(record.job, None)
         state.outcome, state.ended_at = record.outcome, record.at
         pool = self.pools[state.job.pool]
         for task_id, task in state.tasks.items():
             self._index_runs(pool, task_id, task, -1)
-        pool.remove(record.job)
+        self._remove(record.job)
         state.drop_tasks()
         state.job = attrs.evolve(state.job, spec="", steps=())
 
     def _drop(self, key):
         kind, name = key
         if kind == "job":
-            state = self.active.pop(name, None)
-            if state is not None:
-                self.pools[state.job.pool].remove(name)
+            self._remove(name)
             self.jobs.pop(name, None)
         elif kind == "work":
             self.works.pop(name, None)
@@ -267,7 +281,8 @@
 
     def pending(self, queue):
         """Return the number of accepted jobs of ``queue`` that have started no task."""
-        return sum(
-            state.job.queue == queue and not state.tasks and not state.is_over
-            for state in self.active.values()
-        )
+        return len(self.unstarted.get(queue, ()))
+
+    def pools_with_jobs(self):
+        """Return the names of the pools that have jobs that have not ended."""
+        return {pool for pool, jobs in self.pools.items() if jobs.active}
--- a/azurelanding/pool_jobs.py
+++ b/azurelanding/pool_jobs.py
@@ -58,16 +58,18 @@
 class PoolJobs:
     """What the ledger keeps of the jobs of one pool that have not ended.
 
-    ``usage`` holds the ``WorkerUsage`` of the workers whose runs have not changed since
-    it was last asked for. The jobs in ``changed`` are not yet sorted into the others:
-    ``ending`` holds the jobs that may end, ``stopping`` those with unwanted runs, and
-    ``startable`` those with tasks that may start, by ``need_of`` their step.
+    ``active`` holds all of them by id, ``usage`` the ``WorkerUsage`` of the workers
+    whose runs have not changed since it was last asked for. The jobs in ``changed`` are
+    not yet sorted into the others: ``ending`` holds the jobs that may end, ``stopping``
+    those with unwanted runs, and ``startable`` those with tasks that may start, by
+    ``need_of`` their step.
     ``needs`` maps each job in ``startable`` to the needs under which it is there.
 
     Most daemons only follow the jobs of a pool, so jobs are sorted when a controller
     asks for them.
     """
 
+    active: dict[str, object] = attrs.field(factory=dict)
     usage: dict[str, WorkerUsage] = attrs.field(factory=dict)
     changed: dict[str, object] = attrs.field(factory=dict)
     ending: dict[str, object] = attrs.field(factory=dict)
@@ -86,11 +88,12 @@
 
     def put(self, state):
         """Add a job, or note that it has changed."""
+        self.active[state.job.id] = state
         self.changed[state.job.id] = state
 
     def remove(self, job_id):
         """Remove a job that has ended."""
-        for jobs in (self.changed, self.ending, self.stopping):
+        for jobs in (self.active, self.changed, self.ending, self.stopping):
             jobs.pop(job_id, None)
         self._sort_by_needs(job_id, None, set())
 
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -168,8 +168,7 @@
 
     def states_of(self, pool):
         """Return the states of the jobs of a pool that have not ended."""
-        active = self.stream_of(pool).ledger.active
-        return [state for state in active.values() if state.job.pool == pool]
+        return list(self.stream_of(pool).ledger.pools[pool].active.values())
 
     def lag_of(self, pool):
         """Return the age of the states of a pool's jobs in seconds."""
@@ -246,7 +245,7 @@
             return {}
         pools = set(configuration.pools_in_use())
         for stream in self.streams.values():
-            pools.update(s.job.pool for s in stream.ledger.active.values())
+            pools |= stream.ledger.pools_with_jobs()
         assigned = {}
         for pool in pools:
             partition = partition_of(pool, self.site.store.partitions)
--- a/azurelanding/tests/test_fleet_workers.py
+++ b/azurelanding/tests/test_fleet_workers.py
@@ -1,5 +1,6 @@
 """Test which incarnations of workers the registry counts as ended."""
 
+import attrs
 import testtools
 
 from azurelanding.fleet_workers import WorkerEntry, WorkerRegistry
@@ -48,3 +49,14 @@
         self.assertEqual(
             [], [name for name in "vwxy" if registry.has_later_incarnation(name)]
         )
+
+    def test_workers_of_a_pool_are_those_whose_newest_entry_names_it(self):
+        registry = self.make_registry(make_entry("v", "h", 1), make_entry("w", "i", 2))
+        moved = attrs.evolve(make_entry("w", "i", 2), pool="previews")
+        registry.put("w", moved)
+        self.assertEqual(["v"], list(registry.in_pool("cuts")))
+        self.assertEqual({"w": moved}, registry.in_pool("previews"))
+        registry.put("v", None)
+        self.assertEqual({}, registry.in_pool("cuts"))
+        registry.clear()
+        self.assertEqual({}, registry.in_pool("previews"))
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -3,12 +3,14 @@
 import math
 
 import anyio
+import attrs
 import testtools
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from testtools.matchers import LessThan
 
 from azurelanding import job_ends, job_placement
+from azurelanding.configuration import Configuration
 from azurelanding.job_draft import JobDraft
 from azurelanding.jobs import JobOutcome, TaskId, TaskState, task_ids
 from azurelanding.ledger import (
@@ -282,6 +284,29 @@
         self.assertEqual(4, len(starts))
         self.assertThat(len(tightened), LessThan(4))
 
+    def test_pass_visits_no_workers_of_other_pools(self):
+        registry = self.controller.daemon.registry
+        for number in range(20):
+            registry.put(f"o{number}", WorkerModel(f"o{number}", "previews").entry())
+        self.patch(CountedDict, "visits", [])
+        registry.workers = CountedDict(registry.workers)
+        self.controller.pool_links.reconcile(StartedTasks())
+        self.assertEqual(50, len(self.controller.pool_links.registered))
+        self.assertEqual([], CountedDict.visits)
+
+    def test_queries_of_a_pool_or_a_queue_visit_no_other_jobs(self):
+        other = attrs.evolve(make_job("f" * 16, pool="previews"), queue="other")
+        ledger, daemon = self.controller.ledger, self.controller.daemon
+        ledger.apply(("job", other.id), JobSubmitted(other), 500)
+        daemon.streams = {0: self.controller.stream}
+        self.patch(daemon, "stream_of", lambda pool: self.controller.stream)
+        daemon.operator.configuration = Configuration(1, (), {})
+        visits = count_visits(self, self.controller)
+        daemon._assigned_pools()
+        self.assertEqual([other], [s.job for s in daemon.states_of("previews")])
+        self.assertEqual((0, 1), (ledger.pending("q"), ledger.pending("other")))
+        self.assertEqual([], visits)
+
     def test_free_capacity_visits_no_runs(self):
         draft = JobDraft(self.controller.ledger, "cuts")
         self.controller._free_capacity(draft, ())
@@ -298,9 +323,14 @@
         """Compare what the draft and its ledger keep with full walks."""
         for worker in WORKERS:
             self.assertEqual(walk_usage(draft, worker), draft.usage(worker))
+        ledger, stored = draft.ledger, walk(JobDraft(draft.ledger, draft.pool))
+        self.assertEqual(stored, list(ledger.pools[draft.pool].active.values()))
+        pools = {state.job.pool for state in ledger.active.values()}
+        self.assertEqual(pools, ledger.pools_with_jobs())
+        unstarted = [s for s in ledger.active.values() if not (s.tasks or s.is_over)]
+        self.assertEqual(len(unstarted), ledger.pending("q"))
         states = walk(draft)
         self.assertEqual([s for s in states if walk_may_end(s)], draft.jobs_to_end())
-        stored = walk(JobDraft(draft.ledger, draft.pool))
         stopping = {state.job.id for state in stored if any(walk_unwanted(state))}
         self.assertEqual(stopping, draft.ledger.jobs_of(draft.pool).stopping.keys())
         for limit in (0.25, 0.5, 1.0):
