Don't count ended workers as silent while the store is down

What callers saw (by reading): while the store was down, the runs of a pool ended with their leases if half of its workers had been replaced or moved in that time, although the others answered (LOST, AVAIL).

Cause: a controller without a valid membership extends leases only while it hears from half of its linked workers. Links to workers that have ended stay until the store can be read again, and counted as silent.

Change: the permission counts half of those that have not ended. That a worker has ended is certain: another incarnation answers under its address, the registry has a later one, or its host was ordered. No controller can hear from it, so a controller that is cut off is stopped as before. Workers that crashed and are silent still count, as they can't be told from ones that are cut off; that part stays open.

Evidence: test_workers_that_have_ended_do_not_count_as_silent failed before, where one of one living worker was heard and no lease extended. The tests of cut-off and suspended controllers pass as they are.

--- a/azurelanding/lease_permission.py
+++ b/azurelanding/lease_permission.py
@@ -3,10 +3,10 @@
 Another daemon takes over a pool once the membership of its controller has expired. The
 earlier controller learns that from the store, or from a worker that its successor has
 called. While it learns nothing from the store, it extends leases only if it still hears
-from half of its workers: its successor calls them too, and the first one that both
-reach refuses the earlier epoch. Otherwise it is the controller that is cut off, or it
-was suspended. When the store is down for all daemons, nobody takes over and the workers
-go on answering, so that their runs are kept.
+from half of its workers that have not ended: its successor calls them too, and the
+first one that both reach refuses the earlier epoch. Otherwise it is the controller that
+is cut off, or it was suspended. When the store is down for all daemons, nobody takes
+over and the workers go on answering, so that their runs are kept.
 """
 
 import collections
@@ -27,7 +27,8 @@
 
     ``member`` is the daemon's ``GroupMember`` and ``links`` are the controller's
     ``WorkerLink``s by worker. ``reported_at`` maps the workers with a recent report to
-    the ``boot_time`` of the last one, the oldest first.
+    the ``boot_time`` of the last one, the oldest first. ``ended`` are the linked
+    workers whose incarnation has ended: no controller hears from them.
 
     >>> permission = LeasePermission("cuts", member, links)
     >>> permission.record_report("worker-1")
@@ -40,6 +41,7 @@
         self.member = member
         self.links = links
         self.reported_at = collections.OrderedDict()
+        self.ended = set()
         self.was_given = True
 
     def record_report(self, worker_id):
@@ -47,8 +49,14 @@
         self.reported_at[worker_id] = boot_time()
         self.reported_at.move_to_end(worker_id)
 
+    def record_ended(self, worker_id):
+        """Record that the incarnation of a linked worker has ended."""
+        self.ended.add(worker_id)
+        self.reported_at.pop(worker_id, None)
+
     def forget(self, worker_id):
         """Forget a worker whose link is dropped."""
+        self.ended.discard(worker_id)
         self.reported_at.pop(worker_id, None)
 
     def is_given(self):
@@ -61,6 +69,7 @@
                 pool=self.pool,
                 answering=len(self.reported_at),
                 links=len(self.links),
+                ended=len(self.ended),
             )
         return is_given
 
@@ -68,4 +77,4 @@
         oldest = boot_time() - MAX_REPORT_AGE_SECONDS
         while self.reported_at and next(iter(self.reported_at.values())) < oldest:
             self.reported_at.popitem(last=False)
-        return 2 * len(self.reported_at) >= len(self.links)
+        return 2 * len(self.reported_at) >= len(self.links) - len(self.ended)
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -268,11 +268,11 @@
         """Free the runs that are certainly no longer in progress."""
         now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
-            link.has_ended = (
-                link.has_ended
-                or self.daemon.registry.has_later_incarnation(worker_id)
+            if not link.has_ended and (
+                self.daemon.registry.has_later_incarnation(worker_id)
                 or (worker_id in ended and link.is_ended_by_order(now))
-            )
+            ):
+                link.mark_ended("its host was ordered or runs a later one")
             for (task, run), refusal in link.not_started:
                 self._record_refusal(draft, link, task, run, refusal)
             link.not_started = []
--- a/azurelanding/tests/test_lease_permission.py
+++ b/azurelanding/tests/test_lease_permission.py
@@ -7,6 +7,7 @@
 from azurelanding import lease_permission, membership
 from azurelanding.lease_permission import LeasePermission
 from azurelanding.membership import GroupMember
+from azurelanding.tests.platform_world import make_link
 
 
 class LeasePermissionTest(testtools.TestCase):
@@ -43,3 +44,22 @@
             self.permission.record_report(worker)
         self.now += 3.0
         self.assertFalse(self.permission.is_given())
+
+    def test_workers_that_have_ended_do_not_count_as_silent(self):
+        # The runs on the others ended with their leases while the store was down.
+        links = {name: make_link(name, permission=self.permission) for name in "vwxy"}
+        self.permission.links.update(links)
+        for worker in "vwxy":
+            self.permission.record_report(worker)
+        self.now += 1.3
+        for worker in "vwx":
+            links[worker].mark_ended("another worker answers")
+        self.assertTrue(self.permission.is_given())
+        self.now += 1.3
+        self.assertFalse(self.permission.is_given())
+        self.permission.record_report("y")
+        self.assertTrue(self.permission.is_given())
+        self.permission.forget("v")
+        self.permission.forget("w")
+        self.now += 2.1
+        self.assertFalse(self.permission.is_given())
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -327,6 +327,7 @@
         """Record that the worker's incarnation has ended."""
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
+        self.permission.record_ended(self.entry.id)
 
     def is_ended_by_order(self, now):
         """Return whether the worker has ended, as its host was ordered by ``now``.
