Read pools that no queue uses before a job counts as unknown

What callers saw (found by reading for LOST): once no queue used a pool any more, as the operator had moved its queues, a daemon that started after that answered 410 for the accepted jobs of the pool, and if it held the pool's partition it did not control them: they never ended.

Cause: a daemon followed only the streams of the pools that the present configuration uses. One that had run longer followed the earlier ones too, which hid the fault.

Change: a daemon follows each partition that it holds, and before a job counts as unknown it reads the streams of all pools of the configuration. A stream that no queue uses and that has no active job is read every 2 s; readiness asks only for the pools in use, as before the move.

Evidence: both tests of MovedQueueTest failed before (phase None; the job had not ended after 8 s).

--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -38,12 +38,13 @@
     """Accepts, cancels and reports jobs of all pools, whichever daemon controls them.
 
     ``stream_of(pool)`` returns the ``PoolStream`` of a pool, ``streams()`` returns all
-    that this daemon follows.
+    that this daemon follows, and ``streams_of_all_pools()`` follows the others too.
     """
 
-    def __init__(self, stream_of, streams, metrics):
+    def __init__(self, stream_of, streams, streams_of_all_pools, metrics):
         self.stream_of = stream_of
         self.streams = streams
+        self.streams_of_all_pools = streams_of_all_pools
         self.metrics = metrics
 
     def _find(self, job_id):
@@ -65,7 +66,7 @@
             await stream.follower.refresh_within(deadline - time.monotonic())
             if job_id in stream.ledger.jobs:
                 return stream, stream.ledger.jobs[job_id]
-            for other in self.streams():
+            for other in self.streams_of_all_pools():
                 if other is not stream:
                     await other.follower.refresh_within(deadline - time.monotonic())
         except StoreError as error:
--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -131,6 +131,10 @@
         """Return the epoch under which this daemon holds a partition, else ``None``."""
         return self.holdings.get((topic, partition))
 
+    def held_partitions(self, topic):
+        """Return the numbers of the partitions of a topic that this daemon holds."""
+        return [partition for held, partition in self.holdings if held == topic]
+
     @property
     def is_valid(self):
         """Return whether the holdings can't have been assigned to other members."""
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -40,6 +40,8 @@
 FLEET_INTERVAL_SECONDS = 0.15
 """Interval between reads of a stream by the daemon that runs the fleet controller,
 which computes the demand from it; well below the time that moving a host takes."""
+IDLE_INTERVAL_SECONDS = 2.0
+"""Interval between reads of a stream that no queue uses and that has no active job."""
 CONTROLS_PER_ASSIGNMENT = 1000
 """How often a daemon can take control of a pool under one assignment of the store."""
 MAX_READY_AGE_SECONDS = 2.5
@@ -92,7 +94,10 @@
         self.task_group = None
         self.make_worker_client = service_clients.make_worker_client
         self.service = JobService(
-            self.stream_of, lambda: list(self.streams.values()), self.metrics
+            self.stream_of,
+            lambda: list(self.streams.values()),
+            self._streams_of_all_pools,
+            self.metrics,
         )
         self.member = GroupMember.from_config(
             self.name, TOPIC, site.store, service_clients.make_store()
@@ -135,7 +140,18 @@
 
     def stream_of(self, pool):
         """Return the ``PoolStream`` of a pool, which is started on first use."""
-        partition = partition_of(pool, self.site.store.partitions)
+        return self._stream_at(partition_of(pool, self.site.store.partitions))
+
+    def _streams_of_all_pools(self):
+        """Return the streams of all pools, also of those that no queue uses any more.
+
+        Their jobs may have been accepted before this daemon was started.
+        """
+        for pool in self.operator.configuration.pools:
+            self.stream_of(pool)
+        return list(self.streams.values())
+
+    def _stream_at(self, partition):
         stream = self.streams.get(partition)
         if stream is None:
             stream = PoolStream(
@@ -148,7 +164,16 @@
             stream.start(self.task_group)
         return stream
 
+    def _partitions_in_use(self):
+        """Return the partitions of the pools that run at least one queue."""
+        configuration = self.operator.configuration
+        pools = configuration.pools_in_use() if configuration else ()
+        return {partition_of(pool, self.site.store.partitions) for pool in pools}
+
     def _read_delay(self, partition):
+        is_active = bool(self.streams[partition].ledger.active)
+        if not is_active and partition not in self._partitions_in_use():
+            return IDLE_INTERVAL_SECONDS
         if self.member.epoch_of(TOPIC, partition) is not None:
             return CONTROL_INTERVAL_SECONDS
         if self.fleet_member.epoch_of(FLEET_TOPIC, 0) is not None:
@@ -222,7 +247,10 @@
         answer_age = anyio.current_time() - self.configuration_follower.caught_up_at
         if answer_age > MAX_READY_AGE_SECONDS:
             return False
-        return all(stream.follower.is_loaded for stream in self.streams.values())
+        return all(
+            self.streams[partition].follower.is_loaded
+            for partition in self._partitions_in_use() & self.streams.keys()
+        )
 
     # Tasks
 
@@ -237,7 +265,10 @@
                 await self.operator.changes.wait()
 
     async def _follow_assignments(self):
+        """Follow the assigned partitions, whose pools may have jobs but no queue."""
         while True:
+            for partition in self.member.held_partitions(TOPIC):
+                self._stream_at(partition)
             self._match_controllers()
             with anyio.move_on_after(1.0):
                 await self.member.changes.wait()
--- a/azurelanding/tests/test_job_service.py
+++ b/azurelanding/tests/test_job_service.py
@@ -65,7 +65,12 @@
 
         async def main():
             stream = PoolStream(0, self.store.client, "d0", lambda partition: 0.8)
-            service = JobService(lambda pool: stream, lambda: [stream], ServedMetrics())
+            service = JobService(
+                lambda pool: stream,
+                lambda: [stream],
+                lambda: [stream],
+                ServedMetrics(),
+            )
             async with anyio.create_task_group() as task_group:
                 stream.start(task_group)
                 with anyio.fail_after(3.0):
--- a/azurelanding/tests/test_site_rules.py
+++ b/azurelanding/tests/test_site_rules.py
@@ -5,6 +5,7 @@
 
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.jobs import JobPhase
+from azurelanding.membership import partition_of
 from azurelanding.tests.platform_world import (
     World,
     make_job,
@@ -67,6 +68,59 @@
         self.assertEqual([1] * 2, list(count_starts(world, after).values()))
 
 
+class MovedQueueTest(testtools.TestCase):
+    """A queue has moved to another pool, and no queue uses the earlier one."""
+
+    def setUp(self):
+        super().setUp()
+        self.job = make_job()
+        self.moved = make_queue(pool="labels")
+        self.world = make_world("v", lease=6.0)
+        partitions = {partition_of(pool, 4) for pool in (QUEUE.pool, self.moved.pool)}
+        self.assertEqual(2, len(partitions))
+
+    async def start_job(self, task_group):
+        """Start a job and move its queue; the next daemon knows only the new pool."""
+        await self.world.daemon("d0").start(task_group)
+        self.world.fleet.models["v"].knobs.run_time = 1.0
+        await submit(self.world, self.job)
+        await until(lambda: count_starts(self.world, self.job))
+        self.world.configure(self.moved, pools=(QUEUE.pool,))
+
+    async def start_daemon(self, task_group):
+        daemon = self.world.daemon("d1")
+        await daemon.start(task_group)
+        await until(lambda: daemon.operator.configuration is not None)
+        return daemon
+
+    def test_daemon_that_starts_after_the_move_knows_the_job(self):
+        async def main():
+            async with anyio.create_task_group() as task_group:
+                await self.start_job(task_group)
+                daemon = await self.start_daemon(task_group)
+                phase = await daemon.service.phase(self.moved, self.job.id, 5.0)
+                task_group.cancel_scope.cancel()
+            return phase
+
+        self.assertIsNotNone(anyio.run(main))
+
+    def test_daemon_that_starts_after_the_move_completes_the_job(self):
+        async def main():
+            async with anyio.create_task_group() as task_group:
+                await self.start_job(task_group)
+                task_group.cancel_scope.cancel()
+            async with anyio.create_task_group() as task_group:
+                daemon = await self.start_daemon(task_group)
+                partition = self.world.store.partitions[
+                    "jobs", partition_of(QUEUE.pool, 4)
+                ]
+                await until(lambda: f"end/{self.job.id}" in partition.newest)
+                self.assertEqual({QUEUE.pool, "labels"}, set(daemon.controllers))
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+
 class GangTest(testtools.TestCase):
     """Steps whose tasks run only all at the same time."""
 
