--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -268,9 +268,9 @@
         """Free the runs that are certainly no longer in progress."""
         now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
-            signs = self._signs_of_end(worker_id, ended)
-            if any(signs) and link.has_fallen_silent(signs, now):
-                link.has_ended = True
+            signs, is_open = self._signs_of_end(worker_id, ended), not link.has_ended
+            if is_open and any(signs) and link.has_fallen_silent(signs, now):
+                link.mark_ended("its host was ordered or runs a later one")
             for (task, run), refusal in link.not_started:
                 self._record_refusal(draft, link, task, run, refusal)
             link.not_started = []
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -328,6 +328,7 @@
         """Record that the worker's incarnation has ended."""
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
+        self.permission.record_ended(self.entry.id)
 
     def has_fallen_silent(self, signs_of_end, now):
         """Return whether the worker has not reported since signs of its end are known.
