Close sockets when a server or a slot is cancelled, and in the tests that left them open

Cause, found with -X dev -X tracemalloc: a cancelled `HttpServer` left its listener and its connections open, and a cancelled slot its connection to the executor, until the garbage collector found them (hypothesis collects garbage, so the warning came up in its tests). In the product both are cancelled only as a process ends, so callers saw nothing. The same in the relay of the stand-ins, in the clients of `test_claims`, and for the datagram sockets that reserve ports, which are now closed as the process exits.

--- a/azurelanding/http_server.py
+++ b/azurelanding/http_server.py
@@ -73,8 +73,18 @@
         try:
             await self.server.serve(sockets=[self.listener])
         finally:
+            self._drop_connections()
             self.finished.set()
 
+    def _drop_connections(self):
+        """Close the sockets that a cancelled server leaves open."""
+        if self.server.started:
+            for server in self.server.servers:
+                server.close()
+        self.listener.close()
+        for connection in list(self.server.server_state.connections):
+            connection.transport.abort()
+
     def start(self, task_group):
         """Serve in a task of ``task_group`` until ``close``."""
         task_group.start_soon(self._run)
--- a/azurelanding/standins/relay.py
+++ b/azurelanding/standins/relay.py
@@ -200,7 +200,11 @@
             async def handle(stream, target_address=target_address):
                 await self._serve(stream, target_address)
 
-            task_group.start_soon(listener.serve, handle)
+            task_group.start_soon(self._listen, listener, handle)
+
+    async def _listen(self, listener, handle):
+        async with listener:
+            await listener.serve(handle)
 
     def silence(self):
         """Silence all open connections and return their number; new ones work."""
--- a/azurelanding/standins/site.py
+++ b/azurelanding/standins/site.py
@@ -4,6 +4,7 @@
 the processes and waits until they are ready, and ``close`` kills them.
 """
 
+import atexit
 import itertools
 import os
 import pathlib
@@ -63,9 +64,6 @@
     paths: tuple[str, ...] = ()
 
 
-PORT_RESERVATIONS = []
-
-
 def _reserve_port(port):
     """Return whether ``port`` is free, and reserve it if so.
 
@@ -80,7 +78,7 @@
     except OSError:
         reservation.close()
         return False
-    PORT_RESERVATIONS.append(reservation)
+    atexit.register(reservation.close)
     return True
 
 
--- a/azurelanding/targets/slots.py
+++ b/azurelanding/targets/slots.py
@@ -258,19 +258,24 @@
     The connection is opened before a request is taken, so that an unreachable
     executor gets no requests.
     """
-    connection = await _connect(slot, settings)
-    while not slot.ending:
-        ticket = await _take_ticket(slot, queues)
-        if ticket is None:
-            break
-        slot.busy = True
-        try:
-            connection = await _serve_ticket(slot, connection, ticket, queues, settings)
-        finally:
-            slot.busy = False
-            queues.finish(slot.pool, ticket)
-        if not connection.idle:
+    connection = None
+    try:
+        connection = await _connect(slot, settings)
+        while not slot.ending:
+            ticket = await _take_ticket(slot, queues)
+            if ticket is None:
+                break
+            slot.busy = True
+            try:
+                connection = await _serve_ticket(
+                    slot, connection, ticket, queues, settings
+                )
+            finally:
+                slot.busy = False
+                queues.finish(slot.pool, ticket)
+            if not connection.idle:
+                await connection.close()
+                connection = await _connect(slot, settings)
+    finally:
+        if connection is not None:
             await connection.close()
-            connection = await _connect(slot, settings)
-    if connection is not None:
-        await connection.close()
--- a/azurelanding/tests/test_claims.py
+++ b/azurelanding/tests/test_claims.py
@@ -217,6 +217,8 @@
                 with anyio.fail_after(20.0):
                     await scenario(*pair, log)
                 task_group.cancel_scope.cancel()
+            for entry in entries.values():
+                await entry.stream.close()
             return ran
 
         return anyio.run(run)
--- a/azurelanding/tests/test_slots.py
+++ b/azurelanding/tests/test_slots.py
@@ -1,5 +1,8 @@
 """Tests of slots whose connections stop delivering answers."""
 
+import gc
+import warnings
+
 import anyio
 import attrs
 import testtools
@@ -161,3 +164,26 @@
             self.assertEqual(0, queues._pool("cuts").busy)
 
         self.assertEqual(1, self.run_scenario(answer_early))
+
+    async def cancel_idle_slot(self):
+        server = HttpServer.from_config(f"{LOOPBACK}:0", None)
+        host = Host("cut-1", HostKind.EXECUTOR, server.address, zone="a", rack="r")
+        slot = slots.Slot(host, "cuts")
+        async with anyio.create_task_group() as task_group:
+            server.start(task_group)
+            async with anyio.create_task_group() as slot_tasks:
+                slot_tasks.start_soon(
+                    slots.serve_slot, slot, Queues(), TargetsSettings()
+                )
+                while slot.waiting is None:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+                slot_tasks.cancel_scope.cancel()
+            await server.close()
+
+    def test_cancelled_slot_closes_its_connection(self):
+        gc.collect()
+        with warnings.catch_warnings(record=True) as caught:
+            warnings.simplefilter("always", ResourceWarning)
+            anyio.run(self.cancel_idle_slot)
+            gc.collect()
+        self.assertEqual([], [str(warning.message) for warning in caught])
