Return the labels of a worker as a tuple again

The decoder makes a tuple of them and checks that they are texts in one place. The test of a decoded entry now looks at the labels; it failed before: ('a', 'r1-3') != ['a', 'r1-3'].

--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -55,13 +55,17 @@
     )
 
 
+def _decode_labels(labels):
+    if not isinstance(labels, list) or not all(isinstance(n, str) for n in labels):
+        raise TypeError(f"the labels are {labels!r}")
+    return tuple(labels)
+
+
 def _check_entry(entry):
     """Raise an error if a field is of another type, or the address can't be called."""
     texts = (entry.host, entry.pool, entry.address, entry.availability_zone)
-    if not all(isinstance(text, str) for text in (*texts, *entry.labels)):
-        raise TypeError(f"not a text among {(*texts, *entry.labels)}")
-    if not isinstance(entry.labels, list | tuple):
-        raise TypeError(f"the labels are {entry.labels!r}")
+    if not all(isinstance(text, str) for text in texts):
+        raise TypeError(f"not a text among {texts}")
     if not isinstance(entry.born, int):
         raise TypeError(f"born is {entry.born!r}")
     split_address(entry.address)
@@ -78,7 +82,7 @@
             address=values["address"],
             availability_zone=values["zone"],
             resources=decode_resources(values["capacity"]),
-            labels=values.get("labels", ()),
+            labels=_decode_labels(values.get("labels", [])),
             phase=WorkerPhase(values["state"]),
             born=values.get("born", 0),
             warmup_seconds=values.get("coldRemainingMs", 0) / MS_PER_SECOND,
--- a/azurelanding/tests/test_platform_wire.py
+++ b/azurelanding/tests/test_platform_wire.py
@@ -81,6 +81,7 @@
         self.assertEqual(2 << 20, entry.resources.memory)
         self.assertEqual(WorkerPhase.READY, entry.phase)
         self.assertEqual("m-1", entry.host)
+        self.assertEqual(("a", "r1-3"), entry.labels)
 
     def test_invalid_entry_is_ignored(self):
         invalid = [
