Keep which workers are cordoned, rather than walk the plans of all hosts in each pass

Each pass of a controller built the sets of the cordoned and of the ended workers from the plans of all hosts, four times. A host keeps its last plan, so there are as many as hosts that were ever moved or maintained.

The fold of the fleet's stream now keeps these workers and the plans that are not ordered yet.

--- a/azurelanding/fleet_fold.py
+++ b/azurelanding/fleet_fold.py
@@ -19,7 +19,10 @@
 
     ``plans`` holds the ``HostPlan``s by host, ``waves`` the ``WaveProgress`` by number.
     ``last_order_at`` holds by host, in ``boot_time``, when the host may last have been
-    ordered according to its last record.
+    ordered according to its last record. ``open_plans`` holds the plans whose hosts are
+    not ordered yet. ``cordoned_counts`` and ``ended_counts`` count the plans, and the
+    ordered ones, of each worker: controllers look for them in each pass, and a host
+    keeps its last plan.
     """
 
     def __init__(self):
@@ -29,6 +32,9 @@
     def clear(self):
         """Drop the state before the records are read again from the store."""
         self.plans = {}
+        self.open_plans = {}
+        self.cordoned_counts = {}
+        self.ended_counts = {}
         self.waves = {}
         self.offsets = {}
 
@@ -56,26 +62,43 @@
             self.waves[decoded.wave] = decoded
 
     def _apply_plan(self, host, plan):
-        if plan is None or plan.is_dropped:
-            self.plans.pop(host, None)
-        else:
-            self.plans[host] = plan
+        self._replace_plan(host, None if plan and plan.is_dropped else plan)
         recorded_at = max(plan.made_at, plan.closed_at) if plan else time.time()
         age = max(0.0, time.time() - recorded_at - MAX_CLOCK_SKEW_SECONDS)
         self.last_order_at[host] = boot_time() - age
 
+    def _replace_plan(self, host, plan):
+        known = self.plans.pop(host, None)
+        if known is not None:
+            self._count(known, -1)
+        self.open_plans.pop(host, None)
+        if plan is not None:
+            self.plans[host] = plan
+            self._count(plan, 1)
+            if not plan.is_ordered:
+                self.open_plans[host] = plan
+
+    def _count(self, plan, change):
+        counted = [self.cordoned_counts]
+        if plan.is_ordered:
+            counted.append(self.ended_counts)
+        for counts in counted:
+            counts[plan.worker] = counts.get(plan.worker, 0) + change
+            if not counts[plan.worker]:
+                del counts[plan.worker]
+
     def progress(self, wave):
         """Return the ``WaveProgress`` of a wave."""
         return self.waves.get(wave, WaveProgress(wave))
 
     def pending(self):
         """Return the plans whose hosts are not ordered yet, by host."""
-        return {h: plan for h, plan in self.plans.items() if not plan.is_ordered}
+        return dict(self.open_plans)
 
     def cordoned(self):
         """Return the workers that get no new task: to be drained, or already ended."""
-        return {plan.worker for plan in self.plans.values()}
+        return self.cordoned_counts.keys()
 
     def ended(self):
         """Return the workers whose incarnation was ended by an order."""
-        return {plan.worker for plan in self.plans.values() if plan.is_ordered}
+        return self.ended_counts.keys()
