--- a/azurelanding/tests/test_site_rules.py
+++ b/azurelanding/tests/test_site_rules.py
@@ -5,6 +5,7 @@
 
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.jobs import JobPhase
+from azurelanding.membership import partition_of
 from azurelanding.tests.platform_world import (
     World,
     make_job,
@@ -12,7 +13,12 @@
     make_step,
     until,
 )
-from azurelanding.tests.test_pool_control import count_starts, submit, until_phase
+from azurelanding.tests.test_pool_control import (
+    count_starts,
+    submit,
+    take_over,
+    until_phase,
+)
 
 QUEUE = make_queue()
 
@@ -62,6 +68,59 @@
         self.assertEqual([1] * 2, list(count_starts(world, after).values()))
 
 
+class MovedQueueTest(testtools.TestCase):
+    """A queue has moved to another pool, and no queue uses the earlier one."""
+
+    def setUp(self):
+        super().setUp()
+        self.job = make_job()
+        self.moved = make_queue(pool="labels")
+        self.world = make_world("v", lease=6.0)
+        partitions = {partition_of(pool, 4) for pool in (QUEUE.pool, self.moved.pool)}
+        self.assertEqual(2, len(partitions))
+
+    async def start_job(self, task_group):
+        """Start a job and move its queue; the next daemon knows only the new pool."""
+        await self.world.daemon("d0").start(task_group)
+        self.world.fleet.models["v"].knobs.run_time = 1.0
+        await submit(self.world, self.job)
+        await until(lambda: count_starts(self.world, self.job))
+        self.world.configure(self.moved, pools=(QUEUE.pool,))
+
+    async def start_daemon(self, task_group):
+        daemon = self.world.daemon("d1")
+        await daemon.start(task_group)
+        await until(lambda: daemon.operator.configuration is not None)
+        return daemon
+
+    def test_daemon_that_starts_after_the_move_knows_the_job(self):
+        async def main():
+            async with anyio.create_task_group() as task_group:
+                await self.start_job(task_group)
+                daemon = await self.start_daemon(task_group)
+                phase = await daemon.service.phase(self.moved, self.job.id, 5.0)
+                task_group.cancel_scope.cancel()
+            return phase
+
+        self.assertIsNotNone(anyio.run(main))
+
+    def test_daemon_that_starts_after_the_move_completes_the_job(self):
+        async def main():
+            async with anyio.create_task_group() as task_group:
+                await self.start_job(task_group)
+                task_group.cancel_scope.cancel()
+            async with anyio.create_task_group() as task_group:
+                daemon = await self.start_daemon(task_group)
+                partition = self.world.store.partitions[
+                    "jobs", partition_of(QUEUE.pool, 4)
+                ]
+                await until(lambda: f"end/{self.job.id}" in partition.newest)
+                self.assertEqual({QUEUE.pool, "labels"}, set(daemon.controllers))
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+
+
 class GangTest(testtools.TestCase):
     """Steps whose tasks run only all at the same time."""
 
@@ -121,24 +180,44 @@
 class ThrottleTest(testtools.TestCase):
     """Tasks that use idle cores beside tasks with a target for response times."""
 
-    def test_filler_task_is_throttled_until_the_target_is_met(self):
+    def setUp(self):
+        super().setUp()
         steps = (
             make_step(1, long_running=True, tail_target=0.1),
             make_step(1, long_running=True, fills=True),
         )
-        job = make_job(steps=steps)
+        self.job = make_job(steps=steps)
+
+    async def start_and_throttle(self, world):
+        """Start the job and wait until its filler is throttled; return the worker."""
+        world.fleet.long_running.add(self.job.id)
+        model = world.fleet.models["v"]
+        model.knobs.tail_latency_ms = 300.0
+        await submit(world, self.job)
+        await until(lambda: len(count_starts(world, self.job)) == 2)
+        with anyio.fail_after(4.0):
+            while 300.0 * min(model.paces.values(), default=1.0) > 100.0:  # noqa: ASYNC110
+                await anyio.sleep(0.02)
+        return model
+
+    def test_filler_task_is_throttled_until_the_target_is_met(self):
         world = make_world("v", lease=6.0)
 
         async def scenario(world):
-            world.fleet.long_running.add(job.id)
-            model = world.fleet.models["v"]
-            model.knobs.tail_latency_ms = 300.0
-            await submit(world, job)
-            await until(lambda: len(count_starts(world, job)) == 2)
-            with anyio.fail_after(4.0):
-                while 300.0 * min(model.paces.values(), default=1.0) > 100.0:  # noqa: ASYNC110
-                    await anyio.sleep(0.02)
+            model = await self.start_and_throttle(world)
             throttled_steps = {task.step for task, _ in model.paces}
             self.assertEqual({1}, throttled_steps)
 
         anyio.run(world.run, scenario, 1)
+
+    def test_throttled_filler_gets_its_full_pace_again_after_a_takeover(self):
+        # It kept its pace, also one of 0, for as long as it ran.
+        world = make_world("v", lease=6.0)
+
+        async def scenario(world):
+            model = await self.start_and_throttle(world)
+            take_over(world)
+            model.knobs.tail_latency_ms = 50.0
+            await until(lambda: set(model.paces.values()) == {1.0}, 10.0)
+
+        anyio.run(world.run, scenario, 1)
