--- a/azurelanding/tests/test_fleet_controller.py
+++ b/azurelanding/tests/test_fleet_controller.py
@@ -229,10 +229,10 @@
         wave = WaveRequest(1, tuple(names), 20.0, 10)
         controller.daemon.operator.waves = {1: wave}
         controller.hosts = Hosts()
-        for name in names:
+        for offset, name in enumerate(names):
             controller.hosts[name] = HostEntry(name, "cuts", HostPhase.UP, "w1")
-            plan = HostPlan(name, "w1", time.time(), wave=1)
-            controller.fold.plans[name] = plan
+            plan = fleet_records.encode_record(HostPlan(name, "w1", time.time(), 1))
+            controller.fold.apply_stored(*stored_records([plan], offset))
         anyio.run(controller._execute_plans, {}, 1)
         self.assertEqual(10, controller.client.maintain.await_count)
         self.assertLess(Hosts.looks, 4 * len(names))
