Send no submissions to a store that is known to be silent

Cause: each daemon has an appender for each partition, and one that was idle sent the first submission at any time of an outage. With 36 daemons that was nearly each submission.

Change: appends of callers wait, unsent, once no read of the daemon's configuration, workers and fleet was answered for 1.5 s; these are always under way. They are sent when the store answers again within the callers' time, and refused otherwise. What was sent before is still repeated and reported as unknown.

Evidence: the new test failed before (REFUSED != UNKNOWN).

--- a/azurelanding/appender.py
+++ b/azurelanding/appender.py
@@ -60,15 +60,26 @@
     """Sends the appends of one producer to one partition, in order.
 
     ``on_fenced()`` is called when a producer with a higher epoch has written;
-    ``fenced`` then holds the error. ``succeeded_at`` is when the last append succeeded.
+    ``fenced`` then holds the error. While ``may_send()`` is false, new appends wait:
+    one that is not sent is certainly not stored. ``succeeded_at`` is when the last
+    append succeeded.
     """
 
-    def __init__(self, topic, partition, client, producer, on_fenced=None):
+    def __init__(
+        self,
+        topic,
+        partition,
+        client,
+        producer,
+        on_fenced=None,
+        may_send=lambda: True,
+    ):
         self.topic = topic
         self.partition = partition
         self.client = client
         self.producer = producer
         self.on_fenced = on_fenced
+        self.may_send = may_send
         self.sequence = 1
         self.waiting = []
         self.arrivals = Notifier()
@@ -112,6 +123,9 @@
         """Send pending appends until cancelled or fenced."""
         while self.fenced is None:
             await self.arrivals.wait_until(lambda: bool(self.waiting))
+            if not self.may_send():
+                await anyio.sleep(RETRY_DELAY_SECONDS)
+                continue
             await self._send(self._next_batch())
 
     async def _send(self, batch):
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -50,9 +50,18 @@
 
     ``appender`` stores the requests of callers; a controller has an appender of its
     own. ``read_delay(partition)`` returns the seconds between two reads of a partition.
+    ``store_answers()`` returns whether the store has answered lately; the requests of
+    callers are sent only then, so that others can be refused rather than left unknown.
     """
 
-    def __init__(self, partition, make_client, producer_name, read_delay):
+    def __init__(
+        self,
+        partition,
+        make_client,
+        producer_name,
+        read_delay,
+        store_answers=lambda: True,
+    ):
         self.partition = partition
         self.make_client = make_client
         self.ledger = Ledger()
@@ -65,7 +74,9 @@
             READ_WAIT_SECONDS,
         )
         producer = Producer(producer_name, 1)
-        self.appender = Appender(TOPIC, partition, make_client(), producer)
+        self.appender = Appender(
+            TOPIC, partition, make_client(), producer, may_send=store_answers
+        )
 
     def start(self, task_group):
         """Start reading the partition and serving appends in ``task_group``."""
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -44,6 +44,9 @@
 """Interval between reads of a stream that no queue uses and that has no active job."""
 CONTROLS_PER_ASSIGNMENT = 1000
 """How often a daemon can take control of a pool under one assignment of the store."""
+MAX_STORE_SILENCE_SECONDS = 1.5
+"""Time without any answer of the store from which on callers' requests are not sent to
+it; longer than the wait of a read and the slowest answers."""
 MAX_READY_AGE_SECONDS = 2.5
 """Maximum age of the store's last answer for the daemon to count as ready."""
 
@@ -159,6 +162,7 @@
                 self.service_clients.make_store,
                 self.name,
                 self._read_delay,
+                self._store_answers,
             )
             self.streams[partition] = stream
             stream.start(self.task_group)
@@ -180,6 +184,16 @@
             return FLEET_INTERVAL_SECONDS
         return WATCH_INTERVAL_SECONDS
 
+    def _store_answers(self):
+        """Return whether the store has answered a read of this daemon lately."""
+        followers = (
+            self.configuration_follower,
+            self.workers_follower,
+            self.fleet_follower,
+        )
+        answered_at = max(follower.answered_at for follower in followers)
+        return anyio.current_time() <= answered_at + MAX_STORE_SILENCE_SECONDS
+
     def cordoned(self):
         """Return the workers to drain."""
         return self.fleet.cordoned()
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -30,6 +30,8 @@
 )
 from azurelanding.utils import Notifier, boot_time
 
+SILENT_SECONDS = 0.3
+"""How long the clients of a test wait for a silent store."""
 DEDUPLICATED_APPENDS = 5
 """Number of the latest appends per producer and epoch that the store deduplicates.
 
@@ -45,7 +47,8 @@
 class StoreKnobs:
     """The injected faults of the store.
 
-    ``refuse`` refuses every call. ``lose_replies`` is the number of appends still to
+    ``refuse`` refuses every call, ``silent`` leaves them unanswered and without effect.
+    ``lose_replies`` is the number of appends still to
     be applied without a response, ``delay_appends`` the number of appends still to be
     delayed until ``StoreModel.release``. If ``unanswered_join_seconds`` is not 0,
     every other join is applied but fails as unanswered after that many seconds. If
@@ -53,6 +56,7 @@
     """
 
     refuse: bool = False
+    silent: bool = False
     lose_replies: int = 0
     delay_appends: int = 0
     unanswered_join_seconds: float = 0.0
@@ -375,6 +379,9 @@
         await anyio.lowlevel.checkpoint()
         if self.cut or self.model.knobs.refuse:
             raise StoreRefusedError("the store refuses calls")
+        if self.model.knobs.silent:
+            await anyio.sleep(SILENT_SECONDS)
+            raise StoreNoResponseError("no response from the store")
 
     async def append(self, topic, partition, records, producer, sequence):
         """Append as ``StoreClient.append`` does."""
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -14,6 +14,7 @@
 from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobPhase
 from azurelanding.membership import partition_of
+from azurelanding.site_daemon import MAX_STORE_SILENCE_SECONDS
 from azurelanding.start_budget import LINK_SHARE
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import (
@@ -466,6 +467,23 @@
         world = self.run_site(scenario)
         self.assertEqual({}, count_starts(world, job))
 
+    def test_submission_to_a_store_known_to_be_silent_is_refused(self):
+        # It was sent and left unknown, so that its caller could not try again.
+        job = make_job()
+
+        async def scenario(world):
+            await until(lambda: world.daemons[0].controllers)
+            service = world.daemons[0].service
+            world.store.knobs.silent = True
+            await anyio.sleep(MAX_STORE_SILENCE_SECONDS + 0.3)
+            self.assertEqual(Acceptance.REFUSED, await service.submit(job, 0.5))
+            world.store.knobs.silent = False
+            await anyio.sleep(1.0)
+            self.assertEqual({}, count_starts(world, job))
+            self.assertEqual(Acceptance.ACCEPTED, await service.submit(job, 0.5))
+
+        self.run_site(scenario)
+
     def test_urgent_task_overtakes_starts_that_the_link_has_no_room_for(self):
         # 40 starts of 2.8 KB take 3.7 seconds at 0.6 of 50 KB/s.
         spec = "s" * 2_400
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -99,7 +99,8 @@
     state before the newest records are loaded again, sorted by its ``load_order``.
     ``read_delay()`` returns the seconds between two reads, and ``max_wait`` is the
     longest time in seconds that the store waits for a record before it responds.
-    ``caught_up_at`` is when the last read began that reached the end of the partition.
+    ``caught_up_at`` is when the last read began that reached the end of the partition,
+    ``answered_at`` when the store last answered.
     ``loads`` holds the loads under way; ``paused_load`` is one of them that has lost a
     page, and which the next attempt continues. ``pending_refreshes`` are the callers
     that wait for the next refresh.
@@ -115,6 +116,7 @@
         self.max_wait = max_wait
         self.next_offset = None
         self.caught_up_at = -1.0
+        self.answered_at = -1.0
         self.is_reachable = True
         self.refresh_lock = anyio.Lock()
         self.load_count = 0
@@ -157,6 +159,7 @@
                     load.add_changes(batch, read_at)
                 else:
                     load.add_page(await client.newest(*source, load.last_key), read_at)
+                self.answered_at = anyio.current_time()
         except OffsetOutOfRangeError:
             can_continue = False
             raise
@@ -204,6 +207,7 @@
         started_at = anyio.current_time()
         start = self.next_offset
         batch = await client.read(self.topic, self.partition, start, max_wait)
+        self.answered_at = anyio.current_time()
         new_records = [
             record for record in batch.records if record.offset >= self.next_offset
         ]
