--- a/azurelanding/tests/test_leaving.py
+++ b/azurelanding/tests/test_leaving.py
@@ -30,9 +30,12 @@
 HEAD = b"POST /services/preview/a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n"
 
 
-def make_entry():
-    """Return an entry that is not started."""
-    return EntryDaemon(parse_settings(SETTINGS.format(*free_ports(3))))
+def make_entry(test):
+    """Return an entry that is not started, and stops listening with ``test``."""
+    entry = EntryDaemon(parse_settings(SETTINGS.format(*free_ports(3))))
+    for server in (entry.callers_server, entry.operators_server):
+        test.addCleanup(server.listener.close)
+    return entry
 
 
 class UsableTargetTest(testtools.TestCase):
@@ -61,7 +64,7 @@
     """What an entry reports to its peers while a target is draining."""
 
     async def check_status_after_a_drain_record(self):
-        entry = make_entry()
+        entry = make_entry(self)
         host = Host("h1", HostKind.EXECUTOR, "127.0.0.1:1", "zone-a", "rack-1")
         entry.host_list.hosts = {"h1": host}
         entry.state.hosts["h1"] = HostState("previews", 1)
@@ -78,7 +81,7 @@
             task_group.cancel_scope.cancel()
 
     async def busy_hosts_in_status(self, phase):
-        entry = make_entry()
+        entry = make_entry(self)
         host = Host("h1", HostKind.EXECUTOR, "127.0.0.1:1", "zone-a", "rack-1")
         entry.host_list.hosts = {"h1": host}
         entry.state.hosts["h1"] = HostState("previews", 1, phase)
@@ -105,7 +108,7 @@
     """An executor that moves to another pool."""
 
     async def move_target(self):
-        entry = make_entry()
+        entry = make_entry(self)
         host = Host("h1", HostKind.EXECUTOR, "127.0.0.1:1", "zone-a", "rack-1")
         entry.host_list.hosts = {"h1": host}
         entry.state.hosts["h1"] = HostState("previews", 1)
@@ -161,7 +164,7 @@
     """An entry that stops while a caller is still sending its request."""
 
     async def stop_while_a_request_is_in_flight(self):
-        entry, closed, response = make_entry(), anyio.Event(), b""
+        entry, closed, response = make_entry(self), anyio.Event(), b""
         entry.state.rules = read_rules(RULES)
 
         async def stop():
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -148,9 +148,15 @@
         async def scenario(address):
             site = Site("e", "a", "", "", "", StoreSettings(address))
             make_store = make_service_clients(site).make_store
+
+            async def load(partition):
+                client = make_store()
+                await client.newest("jobs", partition)
+                await client.close()
+
             async with anyio.create_task_group() as task_group:
                 for partition in range(3 * LOADS_AT_ONCE):
-                    task_group.start_soon(make_store().newest, "jobs", partition)
+                    task_group.start_soon(load, partition)
 
         serve(app, scenario)
         self.assertEqual(3 * LOADS_AT_ONCE, len(seen))
--- a/azurelanding/tests/test_retries.py
+++ b/azurelanding/tests/test_retries.py
@@ -77,6 +77,8 @@
         addresses = ("callers", "operators", "entries")
         text += "".join(f"{x}: {{address: '127.0.0.1:0'}}\n" for x in addresses)
         entry = EntryDaemon(parse_settings(text))
+        for server in (entry.callers_server, entry.operators_server):
+            self.addCleanup(server.listener.close)
         pool_health = entry.registry.health["cuts"]
         pool_health.update({name: TargetHealth() for name in ("cut-1", "cut-2")})
         self.assertEqual((), entry.set_aside())
--- a/bench/proof.py
+++ b/bench/proof.py
@@ -100,13 +100,17 @@
         daemon.callers: HttpClient(daemon.callers, CALL_TIMEOUT_SECONDS)
         for daemon in proof_run.site.entries
     }
-    for index in itertools.count():
-        await anyio.sleep(rng.uniform(*THINK_TIME_RANGE_SECONDS))
-        if is_flood_caller and not proof_run.flooding:
-            continue
-        service = KEYED_SERVICE if is_flood_caller else rng.choice(SERVICES)
-        call = _make_call(rng, caller, index, service)
-        await _send_with_retries(proof_run, clients, call, rng, history)
+    try:
+        for index in itertools.count():
+            await anyio.sleep(rng.uniform(*THINK_TIME_RANGE_SECONDS))
+            if is_flood_caller and not proof_run.flooding:
+                continue
+            service = KEYED_SERVICE if is_flood_caller else rng.choice(SERVICES)
+            call = _make_call(rng, caller, index, service)
+            await _send_with_retries(proof_run, clients, call, rng, history)
+    finally:
+        for client in clients.values():
+            await client.close()
 
 
 async def _sample_status(proof_run, daemon, samples):
