--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -49,8 +49,10 @@
     ``hosts`` are the ``HostEntry``s of the last poll by name. Times are in
     ``boot_time``: ``draining_since`` by worker, ``missing_since``, ``busy_until`` and
     ``orderable_at`` (when the pause after an earlier holder's orders ends) by host, and
-    ``maintenance_ordered_at`` by host and wave. ``reported_complete`` holds by wave
-    whether the status last reported to the operator was complete.
+    ``maintenance_ordered_at`` by host and wave. ``accepted_plans`` are the plans whose
+    order for maintenance was accepted since the last poll, by host.
+    ``reported_complete`` holds by wave whether the status last reported to the operator
+    was complete.
     """
 
     def __init__(self, daemon, client):
@@ -62,6 +64,7 @@
         self.draining_since = {}
         self.missing_since = {}
         self.maintenance_ordered_at = {}
+        self.accepted_plans = {}
         self.busy_until = {}
         self.orderable_at = {}
         self.reported_complete = {}
@@ -106,6 +109,7 @@
         await self.appender.close()
         await self.status_appender.close()
         self.member.drop_holding(TOPIC, 0)
+        self.daemon.metrics.gauge("hosts_held_back", 0)
         logger.info("fleet control lost", epoch=epoch)
 
     def _make_appender(self, topic, producer):
@@ -127,7 +131,7 @@
                 await anyio.sleep(POLL_INTERVAL_SECONDS)
             else:
                 self._set_orderable_times()
-                logger.info("fleet control acquired", epoch=epoch)
+                self._log_acquired(epoch)
                 return True
         return False
 
@@ -145,12 +149,29 @@
         now = boot_time()
         self.orderable_at.update((host, now + pause) for host in self.fold.pending())
 
+    def _held_back(self):
+        """Return the hosts that may not be ordered yet, and from when they may."""
+        now = boot_time()
+        return {host: at for host, at in self.orderable_at.items() if at > now}
+
+    def _log_acquired(self, epoch):
+        now = boot_time()
+        self.orderable_at = self._held_back()
+        logger.info(
+            "fleet control acquired",
+            epoch=epoch,
+            hosts_held_back=len(self.orderable_at),
+            held_back_for=round(max(self.orderable_at.values(), default=now) - now, 1),
+        )
+
     def _is_past_holder_pause(self, host):
         """Return whether no order of an earlier holder can still reach a host."""
         return boot_time() >= self.orderable_at.get(host, 0.0)
 
     async def _poll_until_lost(self, epoch):
         while self._is_holder(epoch) and self.appender.fenced is None:
+            self.orderable_at = self._held_back()
+            self.daemon.metrics.gauge("hosts_held_back", len(self.orderable_at))
             if self._needs_poll():
                 try:
                     await self._poll(epoch)
@@ -195,6 +216,7 @@
         """List the hosts, plan which ones to drain, and order the drained ones."""
         self.hosts = await self.client.list_hosts()
         placed = self.daemon.placed()
+        await self._close_accepted_plans()
         await self._drop_stale_plans()
         # Demand is planned before the waves, which are less urgent.
         await self._plan_moves(placed)
@@ -244,6 +266,28 @@
                 pool=plan.pool,
             )
 
+    async def _close_accepted_plans(self):
+        """Record which of the accepted orders for maintenance have ended a worker.
+
+        An order is also accepted if the maintenance was carried out before, as after an
+        order without an answer. It ends nothing then, and its plan is dropped.
+        """
+        now, closed = time.time(), []
+        for name, plan in self.accepted_plans.items():
+            host, pending = self.hosts.get(name), self.fold.pending().get(name)
+            if pending == plan:
+                is_ordered = _shows_maintenance(host, plan)
+                closed.append(
+                    attrs.evolve(
+                        plan,
+                        is_ordered=is_ordered,
+                        is_dropped=not is_ordered,
+                        closed_at=now,
+                    )
+                )
+        await self._store([fleet_records.encode_record(plan) for plan in closed])
+        self.accepted_plans = {}
+
     async def _drop_stale_plans(self):
         """Drop the plans that are overdue, or whose host or worker is no longer up."""
         stale = [
@@ -316,14 +360,14 @@
     def _wave_allows_order(self, plan, in_maintenance):
         """Return whether a wave allows one more host in maintenance.
 
-        ``in_maintenance`` maps the waves asked about to their hosts in maintenance.
+        ``in_maintenance`` holds those that are, by the waves asked about so far.
         """
         wave = self.daemon.operator.waves.get(plan.wave)
         if wave is None:
             return True
-        if wave.number not in in_maintenance:
-            in_maintenance[wave.number] = self._hosts_in_maintenance(wave)
-        return len(in_maintenance[wave.number]) < wave.at_once
+        if plan.wave not in in_maintenance:
+            in_maintenance[plan.wave] = self._hosts_in_maintenance(wave)
+        return len(in_maintenance[plan.wave]) < wave.at_once
 
     def _hosts_in_maintenance(self, wave):
         """Return the hosts of a wave that are, or may be, in maintenance."""
@@ -349,8 +393,9 @@
             for plan in self.fold.pending().values():
                 if not self._is_order_due(plan, placed, in_maintenance):
                     continue
-                if plan.wave in in_maintenance:
-                    in_maintenance[plan.wave].add(plan.host)
+                if plan.wave is not None:
+                    # The order may be carried out even if it is not answered.
+                    in_maintenance.setdefault(plan.wave, set()).add(plan.host)
                 if await self._order(plan, epoch):
                     ordered.append(plan)
         finally:
@@ -384,23 +429,27 @@
         return True
 
     async def _record_orders(self, plans):
-        """Record in the fleet's stream that hosts were ordered."""
+        """Record in the fleet's stream that hosts were ordered.
+
+        Plans for maintenance stay pending until the list shows what the order did.
+        """
         now = time.time()
-        ordered = [attrs.evolve(p, is_ordered=True, closed_at=now) for p in plans]
+        moves = [plan for plan in plans if plan.wave is None]
+        ordered = [attrs.evolve(p, is_ordered=True, closed_at=now) for p in moves]
         records = [fleet_records.encode_record(plan) for plan in ordered]
         for number in sorted({plan.wave for plan in plans if plan.wave is not None}):
             begun = {plan.host for plan in plans if plan.wave == number}
-            begun.update(self.fold.progress(number).begun)
-            progress = WaveProgress(number, tuple(sorted(begun)))
+            progress = WaveProgress(number, self.fold.progress(number).begun | begun)
             records.append(fleet_records.encode_record(progress))
         await self._store(records)
+        self.accepted_plans.update((p.host, p) for p in plans if p.wave is not None)
 
     async def _finish_wave(self, wave):
         """Complete a wave once each host that still exists has had its maintenance."""
         progress = self.fold.progress(wave.number)
-        begun, now = frozenset(progress.begun), boot_time()
+        now = boot_time()
         for name in wave.hosts:
-            if name in begun:
+            if name in progress.begun:
                 continue
             if name in self.hosts:
                 self.missing_since.pop(name, None)
@@ -412,3 +461,13 @@
         done = WaveProgress(wave.number, progress.begun, True)
         await self._store([fleet_records.encode_record(done)])
         await self._report_wave(wave.number, True)
+
+
+def _shows_maintenance(host, plan):
+    """Return whether the ``HostEntry`` of a host shows that its order ended a worker.
+
+    A host that is down may have failed, with a worker that is cut off but still up.
+    """
+    if host is None or host.phase is HostPhase.DOWN:
+        return False
+    return host.worker != plan.worker or host.phase is HostPhase.MAINTENANCE
--- a/azurelanding/host_choice.py
+++ b/azurelanding/host_choice.py
@@ -12,8 +12,11 @@
 
 def hosts_not_begun(wave, progress, hosts):
     """Return the hosts of a wave whose maintenance has not begun."""
-    begun = frozenset(progress.begun)
-    return [hosts[name] for name in wave.hosts if name in hosts and name not in begun]
+    return [
+        hosts[name]
+        for name in wave.hosts
+        if name in hosts and name not in progress.begun
+    ]
 
 
 def count_in_maintenance(wave, hosts):
--- a/azurelanding/platform/hosts.py
+++ b/azurelanding/platform/hosts.py
@@ -19,9 +19,8 @@
 
 CALL_TIMEOUT_SECONDS = 1.0
 """Timeout of an API call; a few hundred times the usual response time."""
-PAGE_RETRY_DELAYS = (0.1, 0.2, 0.4, 0.8)
-"""Delays in seconds before a page of the host list is requested again; together longer
-than the second for which the API limits the number of readings."""
+PAGE_RETRY_DELAYS_SECONDS = (0.25, 0.5, 1.0)
+"""Delays before a page of the host list is requested again."""
 HOST_PHASES = {
     "up": HostPhase.UP,
     "moving": HostPhase.MOVING,
@@ -71,31 +70,28 @@
             raise HostCallError(f"{target}: {error}") from error
 
     async def _page(self, token):
-        """Return one page of the host list."""
+        """Return the page of the host list at ``token``, the first one without."""
         query = f"?{urllib.parse.urlencode({'pageToken': token})}" if token else ""
         status, page = await self._call("GET", f"/v1/machines{query}")
         if status != http.HTTPStatus.OK:
             raise HostCallError(f"the host list was refused with status {status}")
         return page
 
-    async def _repeated_page(self, token):
-        """Return a page after the first, which is requested again if it is not served.
-
-        A long list would otherwise never be complete, as each attempt uses up the
-        readings that the API allows.
-        """
-        for delay in PAGE_RETRY_DELAYS:
+    async def _later_page(self, token):
+        """Return a page after the first, again requested if it is lost or refused."""
+        for delay in PAGE_RETRY_DELAYS_SECONDS:
             try:
                 return await self._page(token)
             except HostCallError as error:
-                logger.info("page of the host list not read", reason=str(error))
+                logger.info("host list page requested again", reason=str(error))
                 await anyio.sleep(delay)
         return await self._page(token)
 
     async def list_hosts(self):
         """Return the ``HostEntry`` of each host, by name.
 
-        Raises ``HostCallError``.
+        The platform limits the pages in a second, so the list of a large fleet is
+        refused in the middle: the pages before that are kept. Raises ``HostCallError``.
         """
         hosts, page = {}, await self._page("")
         while True:
@@ -106,7 +102,7 @@
             token = page.get("nextPageToken") or ""
             if not token:
                 return hosts
-            page = await self._repeated_page(token)
+            page = await self._later_page(token)
 
     async def _order(self, name, values, epoch):
         headers = (
--- a/azurelanding/tests/test_platform_hosts.py
+++ b/azurelanding/tests/test_platform_hosts.py
@@ -1,91 +1,67 @@
-"""Test that a long list of hosts is read whole from an API that refuses some calls."""
+"""Test how the list of hosts is read from the platform."""
 
-import time
+import urllib.parse
 
-import anyio
 import msgspec
 import testtools
 
 from azurelanding.host_calls import HostCallError
 from azurelanding.http_server import send_reply
-from azurelanding.platform import hosts
 from azurelanding.platform.hosts import HostsClient
 from azurelanding.tests.test_platform_calls import serve
 
-PAGES = 12
-READINGS_PER_WINDOW = 5
-WINDOW_SECONDS = 0.3
+PAGE_COUNT = 12
 
 
-class HostListTest(testtools.TestCase):
-    """A list of ``PAGES`` pages, each with one host."""
-
-    def list_hosts(self, is_served):
-        """Return the names of the listed hosts, and the numbers of the served pages.
-
-        ``is_served(number)`` returns whether the API serves a page now. It is asked
-        once for each request.
-        """
-        served, found = [], []
-
-        async def app(scope, receive, send):
-            number = int(scope["query_string"].rpartition(b"=")[2] or 0)
-            if not await is_served(number):
-                await send_reply(send, 429, (), b"")
-                return
-            served.append(number)
-            row = {"machine": f"m{number}", "pool": "p", "state": "up", "id": "w"}
-            token = str(number + 1) if number + 1 < PAGES else ""
-            page = {"machines": [row], "nextPageToken": token}
-            await send_reply(send, 200, (), msgspec.json.encode(page))
-
-        async def scenario(address):
-            client = HostsClient.from_config(address, "daemon")
-            try:
-                found.extend(await client.list_hosts())
-            finally:
-                await client.close()
+class PagedHosts:
+    """A host API of one host a page, which refuses the readings in ``refused``."""
 
-        serve(app, scenario)
-        return found, served
+    def __init__(self, refused):
+        self.refused = refused
+        self.readings = 0
 
-    def test_list_with_more_pages_than_readings_are_allowed_is_complete(self):
-        # Each attempt began with the first page and was refused before the last one.
-        readings = []
+    async def app(self, scope, receive, send):
+        """Answer one reading of the list."""
+        self.readings += 1
+        if self.readings in self.refused:
+            await send_reply(send, 429, (), b"{}")
+            return
+        query = urllib.parse.parse_qs(scope["query_string"].decode())
+        page = int(query.get("pageToken", ["0"])[0])
+        row = {"machine": f"h{page}", "pool": "cuts", "state": "up", "id": f"w{page}"}
+        values = {"machines": [row]}
+        if page + 1 < PAGE_COUNT:
+            values["nextPageToken"] = str(page + 1)
+        await send_reply(send, 200, (), msgspec.json.encode(values))
 
-        async def is_served(number):
-            recent = time.monotonic() - WINDOW_SECONDS
-            if sum(at > recent for at in readings) >= READINGS_PER_WINDOW:
-                return False
-            readings.append(time.monotonic())
-            return True
 
-        found, served = self.list_hosts(is_served)
-        self.assertEqual([f"m{number}" for number in range(PAGES)], found)
-        self.assertEqual(list(range(PAGES)), served)
-
-    def test_pages_before_a_late_one_are_kept(self):
-        self.patch(hosts, "CALL_TIMEOUT_SECONDS", 0.3)
-        late = [7, 7]
-
-        async def is_served(number):
-            if number in late:
-                late.remove(number)
-                await anyio.sleep(0.6)
-                return False
-            return True
-
-        found, served = self.list_hosts(is_served)
-        self.assertEqual(PAGES, len(found))
-        self.assertEqual(list(range(PAGES)), served)
-
-    def test_list_is_given_up_if_the_first_page_is_refused(self):
-        requested = []
+class HostListTest(testtools.TestCase):
+    """The list of a fleet that takes many pages."""
 
-        async def is_served(number):
-            requested.append(number)
-            return False
+    def list_hosts(self, hosts):
+        """Return the names of the hosts that the client lists, or the error."""
+        results = []
 
-        error = self.assertRaises(ExceptionGroup, self.list_hosts, is_served)
-        self.assertIsNotNone(error.split(HostCallError)[0])
-        self.assertEqual([0], requested)
+        async def scenario(address):
+            client = HostsClient.from_config(address, "d0")
+            try:
+                results.append(list(await client.list_hosts()))
+            except HostCallError as error:
+                results.append(error)
+            await client.close()
+
+        serve(hosts.app, scenario)
+        return results[0]
+
+    def test_list_that_is_refused_in_the_middle_is_completed(self):
+        # Each refusal threw all pages away, so a long list was never complete.
+        hosts = PagedHosts({5, 10})
+        names = [f"h{page}" for page in range(PAGE_COUNT)]
+        self.assertEqual(names, self.list_hosts(hosts))
+        self.assertEqual(PAGE_COUNT + 2, hosts.readings)
+
+    def test_list_that_is_refused_for_long_fails(self):
+        hosts = PagedHosts(range(3, 100))
+        error = self.list_hosts(hosts)
+        self.assertIn("refused with status 429", str(error))
+        self.assertEqual(6, hosts.readings)
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -76,6 +76,8 @@
       and ``lost_runs`` those that the worker no longer lists.
     - ``stops`` maps the runs that were ordered to stop to the ``boot_time`` of the
       order, and ``orders`` are the orders not yet sent.
+    - ``paces`` maps the filler runs to the share of their pace that was last ordered,
+      ``None`` if it is not known whether the worker has received it.
     - ``clock`` is the time of the worker's clock in the last report, with the
       ``boot_time`` at which it was received.
     - ``leased_until`` is the ``boot_time`` after which nothing runs on the worker
@@ -85,8 +87,8 @@
       next report.
     - ``may_have_restarted`` is set from any unanswered or overdue ``hold`` call to the
       next report: another incarnation, with ends of its own, may answer the next call.
-    - ``order_seen_at`` is the ``boot_time`` since when an order to the worker's host is
-      known that ends the worker.
+    - ``end_seen_at`` is the ``boot_time`` since when the ``signs_of_end`` are known,
+      which show that the worker has ended unless it reports later.
     - ``overdue_at`` is the ``boot_time`` at which the answer to the ``hold`` call in
       flight on the first connection is overdue, ``None`` without such a call.
     - ``unanswered_calls`` is the number of calls without an answer since the last one
@@ -141,6 +143,7 @@
         self.not_started = []
         self.lost_runs = []
         self.stops = {}
+        self.paces = {}
         self.orders = OrderQueue(watch.observe_order_wait)
         self.order_added = Notifier()
         self.ends_recorded = Notifier()
@@ -160,7 +163,8 @@
         self.clock = None
         longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
         self.leased_until = boot_time() + longest
-        self.order_seen_at = None
+        self.signs_of_end = ()
+        self.end_seen_at = None
         self.no_starts_until = 0.0
         self.report_count = 0
 
@@ -324,17 +328,20 @@
         """Record that the worker's incarnation has ended."""
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
+        self.permission.record_ended(self.entry.id)
 
-    def is_ended_by_order(self, now):
-        """Return whether the worker has ended, as its host was ordered by ``now``.
+    def has_fallen_silent(self, signs_of_end, now):
+        """Return whether the worker has not reported since signs of its end are known.
 
-        A worker that has reported since is a later incarnation: an order that was
-        carried out before is accepted again and ends nothing.
+        One that has is up: an order that was carried out before is accepted again and
+        ends nothing, and a host's clock may have been set back between two
+        incarnations. A report from before may arrive late, so a further sign counts
+        from ``now``.
         """
-        if self.order_seen_at is None:
-            self.order_seen_at = now
+        if self.signs_of_end != signs_of_end:
+            self.signs_of_end, self.end_seen_at = signs_of_end, now
         reported_at = self.last_report_at or 0.0
-        return self.last_hold_failed and reported_at <= self.order_seen_at
+        return self.last_hold_failed and reported_at <= self.end_seen_at
 
     def handle_refusal(self, error):
         """Log a refused call; one that was refused as superseded ends the link."""
@@ -377,7 +384,7 @@
                 continue
             if key in self.listed_runs:
                 self.unanswered_starts.discard(key)
-            elif key not in ended:
+            elif key not in ended and report.has_all_ends:
                 self._record_unlisted(key)
         had_answered, self.has_answered = self.has_answered, True
         if new_ends or self.lost_runs or not had_answered:
@@ -430,6 +437,7 @@
     def adopt_run(self, key):
         """Count a run that was placed before this link was made as started."""
         self.runs.setdefault(key, boot_time())
+        self.paces[key] = None
 
     def enqueue(self, order):
         """Append an order to the queue of orders."""
@@ -482,6 +490,12 @@
         if self.runs.get((task, run)) is not None:
             self.await_reports((task, run))
 
+    def record_pace_unknown(self, order):
+        """Record that a ``PaceOrder`` has failed, unless a later one was given."""
+        key = (order.task, order.run)
+        if self.paces.get(key) == order.share:
+            self.paces[key] = None
+
     def drop_run(self, key):
         """Drop a run that has ended or was freed."""
         self.runs.pop(key, None)
