--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's store: a log with topics and partitions."""
 
 import base64
+import contextlib
 import http
 import struct
 import urllib.parse
@@ -8,17 +9,20 @@
 import anyio
 import msgspec
 
+from azurelanding.answer_timeout import AnswerTimeout
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.store import (
     Membership,
     OffsetOutOfRangeError,
     ReadRecords,
     StoredRecord,
+    StoreError,
     StoreFencedError,
     StoreNoResponseError,
     StoreRefusedError,
     StoreSequenceError,
 )
+from azurelanding.utils import boot_time
 
 BYTES_PER_KILOBYTE = 1024
 RECORD_LENGTH = struct.Struct(">I")
@@ -27,6 +31,9 @@
 CALL_TIMEOUT_SECONDS = 1.2
 """Timeout of a call; longer than the slowest answers of a store that is 60 times
 slower than its usual 4 ms."""
+APPEND_QUEUE_SECONDS = 2.0
+"""Longest time for which appends wait at the store for others to the same partition;
+it refuses those that would wait longer."""
 JOIN_TIMEOUT_SECONDS = 0.5
 """Timeout of a join, and of a read of the holders before it; less than half of the
 shortest membership that is requested, so that a join whose answer is lost can be
@@ -96,6 +103,20 @@
         raise StoreNoResponseError(f"{call}: {error}") from error
 
 
+def _target(name, query):
+    return f"/v1/{name}?{urllib.parse.urlencode(query)}" if query else f"/v1/{name}"
+
+
+@contextlib.contextmanager
+def _store_errors(name):
+    """Raise what went wrong in the call ``name`` as a ``StoreError``."""
+    try:
+        yield
+    except HttpClientError as error:
+        error_class = StoreNoResponseError if error.sent else StoreRefusedError
+        raise error_class(f"{name}: {error}") from error
+
+
 def make_page_turns():
     """Return the semaphore by which the loads of a daemon share its link."""
     return anyio.Semaphore(LOADS_AT_ONCE)
@@ -108,8 +129,9 @@
     raise ``StoreRefusedError`` when they certainly had no effect and
     ``StoreNoResponseError`` when that is not known.
 
-    ``max_kilobytes`` limits the answer to one read, and ``page_timeout`` is the timeout
-    in seconds of one page of newest records, whose length the store chooses.
+    ``max_kilobytes`` limits the answer to one read, and ``page_timeout`` is the longest
+    wait in seconds for one page of newest records, whose length the store chooses, to
+    begin.
     ``append_rate`` is the rate in bytes per second at which an append crosses the
     link, or ``None``. ``page_turns`` is a semaphore that limits the pages read at once.
     """
@@ -122,6 +144,9 @@
         self.max_kilobytes = max_kilobytes
         self.page_timeout = page_timeout
         self.page_turns = page_turns
+        self.append_timeout = AnswerTimeout(
+            CALL_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS + APPEND_QUEUE_SECONDS
+        )
 
     @classmethod
     def from_config(cls, settings, link_rate=None, page_turns=None):
@@ -144,15 +169,20 @@
         return cls(connection, max_kilobytes, page_timeout, append_rate, page_turns)
 
     async def _call(self, method, name, query, body=b"", timeout=CALL_TIMEOUT_SECONDS):
-        target = (
-            f"/v1/{name}?{urllib.parse.urlencode(query)}" if query else f"/v1/{name}"
-        )
         headers = (("Content-Type", "application/json"),) if body else ()
-        try:
-            return await self.connection.request(method, target, body, headers, timeout)
-        except HttpClientError as error:
-            error_class = StoreNoResponseError if error.sent else StoreRefusedError
-            raise error_class(f"{name}: {error}") from error
+        with _store_errors(name):
+            return await self.connection.request(
+                method, _target(name, query), body, headers, timeout
+            )
+
+    async def _download(self, name, query, timeout):
+        """Get records; ``timeout`` limits the wait for the answer to begin.
+
+        Streams that are read at once share the host's link, so how long an answer takes
+        depends on the others.
+        """
+        with _store_errors(name):
+            return await self.connection.download(_target(name, query), timeout)
 
     async def append(self, topic, partition, records, producer, sequence):
         """Append pairs of key and value and return the offset of the first.
@@ -171,10 +201,7 @@
             "sequence": sequence,
         }
         body = b"".join(encode_keyed_record(key, value) for key, value in records)
-        timeout = CALL_TIMEOUT_SECONDS
-        if self.append_rate is not None:
-            timeout += len(body) / self.append_rate
-        status, content = await self._call("POST", "log-append", query, body, timeout)
+        status, content = await self._send_append(query, body)
         if status == http.HTTPStatus.OK:
             answer = _decode_json(content, "log-append")
             return answer.get("offset", answer.get("end"))
@@ -190,6 +217,22 @@
             f"log-append refused with status {status}: {content[:200]}"
         )
 
+    async def _send_append(self, query, body):
+        """Send an append; its timeout follows how long the last ones took."""
+        transfer = 0.0 if self.append_rate is None else len(body) / self.append_rate
+        waited, sent_at = self.append_timeout.seconds, boot_time()
+        try:
+            status, content = await self._call(
+                "POST", "log-append", query, body, waited + transfer
+            )
+        except StoreError as error:
+            if error.__cause__.timed_out:
+                self.append_timeout.record_no_answer(waited)
+            raise
+        if status == http.HTTPStatus.OK:
+            self.append_timeout.record_answer(boot_time() - sent_at - transfer)
+        return status, content
+
     async def read(self, topic, partition, start, wait=0.0):
         """Return the ``ReadRecords`` from offset ``start`` on.
 
@@ -211,7 +254,7 @@
             "waitMs": int(wait * 1000),
         }
         timeout = CALL_TIMEOUT_SECONDS + wait
-        status, content = await self._call("GET", "log-read", query, timeout=timeout)
+        status, content = await self._download("log-read", query, timeout)
         if status == http.HTTPStatus.GONE:
             first = _decode_json(content, "log-read").get("first", start)
             raise OffsetOutOfRangeError(
@@ -239,8 +282,8 @@
         if after is not None:
             query["after"] = after
         async with self.page_turns:
-            status, content = await self._call(
-                "GET", "log-newest", query, timeout=self.page_timeout
+            status, content = await self._download(
+                "log-newest", query, self.page_timeout
             )
         if status == http.HTTPStatus.NOT_FOUND:
             return ReadRecords((), 0)
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -268,9 +268,9 @@
         """Free the runs that are certainly no longer in progress."""
         now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
-            signs = self._signs_of_end(worker_id, ended)
-            if any(signs) and link.has_fallen_silent(signs, now):
-                link.has_ended = True
+            signs, is_open = self._signs_of_end(worker_id, ended), not link.has_ended
+            if is_open and any(signs) and link.has_fallen_silent(signs, now):
+                link.mark_ended("its host was ordered or runs a later one")
             for (task, run), refusal in link.not_started:
                 self._record_refusal(draft, link, task, run, refusal)
             link.not_started = []
@@ -383,7 +383,7 @@
             )
         ]
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
-        starts = []
+        starts, tightened_after = [], 0
         for ready in ready_steps:
             if not bounds.may_fit(ready.step.need, ready.step.fills):
                 continue
@@ -399,8 +399,9 @@
             for placed in placed_tasks:
                 starts.append(self._start(draft, ready, placed))
                 self._count_start(starts[-1][1])
-            if len(placed_tasks) < len(ready.tasks):
+            if len(placed_tasks) < len(ready.tasks) and len(starts) > tightened_after:
                 bounds.tighten()
+                tightened_after = len(starts)
         left = sum(len(ready.tasks) for ready in ready_steps) - len(starts)
         is_spent = not self.start_budget.affordable(self, 1, boot_time())
         self._record_held_back(left if is_spent else 0)
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -40,8 +40,13 @@
 FLEET_INTERVAL_SECONDS = 0.15
 """Interval between reads of a stream by the daemon that runs the fleet controller,
 which computes the demand from it; well below the time that moving a host takes."""
+IDLE_INTERVAL_SECONDS = 2.0
+"""Interval between reads of a stream that no queue uses and that has no active job."""
 CONTROLS_PER_ASSIGNMENT = 1000
 """How often a daemon can take control of a pool under one assignment of the store."""
+MAX_STORE_SILENCE_SECONDS = 1.5
+"""Time without any answer of the store from which on callers' requests are not sent to
+it; longer than the wait of a read and the slowest answers."""
 MAX_READY_AGE_SECONDS = 2.5
 """Maximum age of the store's last answer for the daemon to count as ready."""
 
@@ -92,7 +97,10 @@
         self.task_group = None
         self.make_worker_client = service_clients.make_worker_client
         self.service = JobService(
-            self.stream_of, lambda: list(self.streams.values()), self.metrics
+            self.stream_of,
+            lambda: list(self.streams.values()),
+            self._streams_of_all_pools,
+            self.metrics,
         )
         self.member = GroupMember.from_config(
             self.name, TOPIC, site.store, service_clients.make_store()
@@ -135,7 +143,18 @@
 
     def stream_of(self, pool):
         """Return the ``PoolStream`` of a pool, which is started on first use."""
-        partition = partition_of(pool, self.site.store.partitions)
+        return self._stream_at(partition_of(pool, self.site.store.partitions))
+
+    def _streams_of_all_pools(self):
+        """Return the streams of all pools, also of those that no queue uses any more.
+
+        Their jobs may have been accepted before this daemon was started.
+        """
+        for pool in self.operator.configuration.pools:
+            self.stream_of(pool)
+        return list(self.streams.values())
+
+    def _stream_at(self, partition):
         stream = self.streams.get(partition)
         if stream is None:
             stream = PoolStream(
@@ -143,18 +162,38 @@
                 self.service_clients.make_store,
                 self.name,
                 self._read_delay,
+                self._store_answers,
             )
             self.streams[partition] = stream
             stream.start(self.task_group)
         return stream
 
+    def _partitions_in_use(self):
+        """Return the partitions of the pools that run at least one queue."""
+        configuration = self.operator.configuration
+        pools = configuration.pools_in_use() if configuration else ()
+        return {partition_of(pool, self.site.store.partitions) for pool in pools}
+
     def _read_delay(self, partition):
+        is_active = bool(self.streams[partition].ledger.active)
+        if not is_active and partition not in self._partitions_in_use():
+            return IDLE_INTERVAL_SECONDS
         if self.member.epoch_of(TOPIC, partition) is not None:
             return CONTROL_INTERVAL_SECONDS
         if self.fleet_member.epoch_of(FLEET_TOPIC, 0) is not None:
             return FLEET_INTERVAL_SECONDS
         return WATCH_INTERVAL_SECONDS
 
+    def _store_answers(self):
+        """Return whether the store has answered a read of this daemon lately."""
+        followers = (
+            self.configuration_follower,
+            self.workers_follower,
+            self.fleet_follower,
+        )
+        answered_at = max(follower.answered_at for follower in followers)
+        return anyio.current_time() <= answered_at + MAX_STORE_SILENCE_SECONDS
+
     def cordoned(self):
         """Return the workers to drain."""
         return self.fleet.cordoned()
@@ -168,8 +207,7 @@
 
     def states_of(self, pool):
         """Return the states of the jobs of a pool that have not ended."""
-        active = self.stream_of(pool).ledger.active
-        return [state for state in active.values() if state.job.pool == pool]
+        return list(self.stream_of(pool).ledger.pools[pool].active.values())
 
     def lag_of(self, pool):
         """Return the age of the states of a pool's jobs in seconds."""
@@ -195,10 +233,7 @@
 
     def find_advice(self, queue_name):
         """Return the ``Advice`` of a queue, or ``None``."""
-        for queue in self.operator.configuration.queues:
-            if queue.name == queue_name:
-                return queue.advice
-        return None
+        return self.operator.configuration.find_advice(queue_name)
 
     def make_start_permits(self):
         """Return the start permits of one pool."""
@@ -222,7 +257,10 @@
         answer_age = anyio.current_time() - self.configuration_follower.caught_up_at
         if answer_age > MAX_READY_AGE_SECONDS:
             return False
-        return all(stream.follower.is_loaded for stream in self.streams.values())
+        return all(
+            self.streams[partition].follower.is_loaded
+            for partition in self._partitions_in_use() & self.streams.keys()
+        )
 
     # Tasks
 
@@ -237,7 +275,10 @@
                 await self.operator.changes.wait()
 
     async def _follow_assignments(self):
+        """Follow the assigned partitions, whose pools may have jobs but no queue."""
         while True:
+            for partition in self.member.held_partitions(TOPIC):
+                self._stream_at(partition)
             self._match_controllers()
             with anyio.move_on_after(1.0):
                 await self.member.changes.wait()
@@ -249,7 +290,7 @@
             return {}
         pools = set(configuration.pools_in_use())
         for stream in self.streams.values():
-            pools.update(s.job.pool for s in stream.ledger.active.values())
+            pools |= stream.ledger.pools_with_jobs()
         assigned = {}
         for pool in pools:
             partition = partition_of(pool, self.site.store.partitions)
--- a/azurelanding/tests/test_fleet_controller.py
+++ b/azurelanding/tests/test_fleet_controller.py
@@ -8,15 +8,25 @@
 import attrs
 import testtools
 
-from azurelanding import fleet_records
+from azurelanding import fleet_controller, fleet_records
 from azurelanding.configuration import WaveRequest
-from azurelanding.fleet_controller import HOLDER_PAUSE_MARGIN_SECONDS, FleetController
+from azurelanding.fleet_controller import (
+    HOLDER_PAUSE_MARGIN_SECONDS,
+    TOPIC,
+    FleetController,
+)
 from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_records import HostPlan
 from azurelanding.fleet_workers import HostEntry, HostPhase
 from azurelanding.host_calls import HostCallError
 from azurelanding.site import Site, StoreSettings, Timing
 from azurelanding.store import StoredRecord, stored_records
+from azurelanding.tests.platform_world import (
+    World,
+    capture_lines,
+    make_queue,
+    until,
+)
 from azurelanding.utils import MAX_CLOCK_SKEW_SECONDS, boot_time
 
 PAUSE_SECONDS = 3.0
@@ -34,8 +44,8 @@
     return FleetController(daemon, None)
 
 
-def apply_plan(controller, host, seconds_ago, is_ordered=False, is_dropped=False):
-    """Apply a stored plan for ``host``, ordered or dropped ``seconds_ago``."""
+def encode_plan(host, seconds_ago, is_ordered=False, is_dropped=False):
+    """Return the record of a plan for ``host``, ordered or dropped ``seconds_ago``."""
     closed_at = time.time() - seconds_ago if is_ordered or is_dropped else 0.0
     plan = HostPlan(
         host,
@@ -46,7 +56,12 @@
         is_dropped=is_dropped,
         closed_at=closed_at,
     )
-    key, value = fleet_records.encode_record(plan)
+    return fleet_records.encode_record(plan)
+
+
+def apply_plan(controller, host, seconds_ago, **fields):
+    """Apply a stored plan for ``host``, ordered or dropped ``seconds_ago``."""
+    key, value = encode_plan(host, seconds_ago, **fields)
     offset = controller.fold.offsets.get(key, 0) + 1
     controller.fold.apply_stored(StoredRecord(key, value, offset))
 
@@ -101,6 +116,23 @@
         apply_plan(controller, "a", 1.0, is_dropped=True)
         self.assertEqual([], list(controller.fold.pending()))
 
+    def test_hosts_that_a_new_fleet_controller_leaves_alone_are_reported(self):
+        async def scenario(world):
+            metrics = world.daemons[0].metrics
+            for held_back in (b"1.0", b"0.0"):
+                gauge = b"hosts_held_back " + held_back
+                await until(lambda gauge=gauge: gauge in metrics.text())
+
+        world = World(holder_pause=PAUSE_SECONDS)
+        world.configure(make_queue())
+        world.store.put(TOPIC, *encode_plan("new", 5.0, is_ordered=True))
+        world.store.put(TOPIC, *encode_plan("old", LONG_AGO_SECONDS, is_ordered=True))
+        lines = capture_lines(self, fleet_controller)
+        anyio.run(world.run, scenario)
+        (acquired,) = (ln for ln in lines if ln["event"] == "fleet control acquired")
+        self.assertEqual(1, acquired["hosts_held_back"])
+        self.assertTrue(0.0 < acquired["held_back_for"] <= LONG_AGO_SECONDS - 5.0)
+
 
 class WaveHosts:
     """The platform's API of one host, which does its maintenance of a wave once.
@@ -181,7 +213,29 @@
         self.assertEqual(
             (set(), set()), (controller.fold.ended(), controller.fold.cordoned())
         )
-        self.assertEqual(("h",), controller.fold.progress(1).begun)
+        self.assertEqual({"h"}, controller.fold.progress(1).begun)
+
+    def test_hosts_of_a_wave_are_not_all_looked_at_for_each_order(self):
+        # With thousands of hosts each pass took seconds, in which no lease is extended.
+        class Hosts(dict):
+            looks = 0
+
+            def __contains__(self, name):
+                Hosts.looks += 1
+                return super().__contains__(name)
+
+        controller = self.make_controller(mock.Mock(maintain=mock.AsyncMock()))
+        names = [f"h{number}" for number in range(40)]
+        wave = WaveRequest(1, tuple(names), 20.0, 10)
+        controller.daemon.operator.waves = {1: wave}
+        controller.hosts = Hosts()
+        for offset, name in enumerate(names):
+            controller.hosts[name] = HostEntry(name, "cuts", HostPhase.UP, "w1")
+            plan = fleet_records.encode_record(HostPlan(name, "w1", time.time(), 1))
+            controller.fold.apply_stored(*stored_records([plan], offset))
+        anyio.run(controller._execute_plans, {}, 1)
+        self.assertEqual(10, controller.client.maintain.await_count)
+        self.assertLess(Hosts.looks, 4 * len(names))
 
     def test_order_that_began_the_maintenance_ends_the_worker(self):
         hosts = WaveHosts(lost_answers=0)
@@ -189,4 +243,4 @@
         self.poll(controller, 3)
         self.assertEqual(1, hosts.orders)
         self.assertEqual({"w1"}, controller.fold.ended())
-        self.assertEqual(("h",), controller.fold.progress(1).begun)
+        self.assertEqual({"h"}, controller.fold.progress(1).begun)
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -6,11 +6,12 @@
 import msgspec
 import testtools
 
+from azurelanding.appender import Appender
 from azurelanding.http_client import HttpClient
 from azurelanding.http_server import HttpServer, send_reply
 from azurelanding.job_service import Acceptance, StateUnknownError
 from azurelanding.jobs import JobPhase
-from azurelanding.platform import callers
+from azurelanding.platform import callers, store
 from azurelanding.platform.main import CallerLimits, make_service_clients
 from azurelanding.platform.store import LOADS_AT_ONCE, StoreClient
 from azurelanding.platform.traffic import count_received
@@ -134,6 +135,38 @@
 
         serve(app, scenario)
 
+    def test_streams_that_are_read_at_once_over_a_thin_link_arrive(self):
+        # Each answer alone was short enough; together all of them timed out for ever.
+        model, producer, link_rate = StoreModel(), Producer("p", 1), 250_000.0
+        rows = [(f"job/{number}", b"x" * 7_000) for number in range(9)]
+        link, piece_size, found = anyio.Lock(), 8_192, []
+
+        async def app(scope, receive, send):
+            async def send_over_link(message):
+                body = message.get("body", b"")
+                for begin in range(0, len(body), piece_size):
+                    piece = body[begin : begin + piece_size]
+                    async with link:
+                        await anyio.sleep(len(piece) / link_rate)
+                    await send({**message, "body": piece, "more_body": True})
+                await send({**message, "body": b""} if body else message)
+
+            await model.app(scope, receive, send_over_link)
+
+        async def read(client, partition):
+            found.append(await client.read("jobs", partition, 0))
+            await client.close()
+
+        async def scenario(address):
+            async with anyio.create_task_group() as task_group:
+                for partition in range(8):
+                    model.partitions["keyed.jobs", partition].append(rows, producer, 1)
+                    client = StoreClient.from_config(StoreSettings(address), link_rate)
+                    task_group.start_soon(read, client, partition)
+
+        serve(app, scenario)
+        self.assertEqual([9] * 8, [len(batch.records) for batch in found])
+
     def test_pages_of_many_loads_take_turns(self):
         # More of them than the timeout of a page allows for all timed out.
         model, running, seen = StoreModel(), [], []
@@ -148,9 +181,15 @@
         async def scenario(address):
             site = Site("e", "a", "", "", "", StoreSettings(address))
             make_store = make_service_clients(site).make_store
+
+            async def load(partition):
+                client = make_store()
+                await client.newest("jobs", partition)
+                await client.close()
+
             async with anyio.create_task_group() as task_group:
                 for partition in range(3 * LOADS_AT_ONCE):
-                    task_group.start_soon(make_store().newest, "jobs", partition)
+                    task_group.start_soon(load, partition)
 
         serve(app, scenario)
         self.assertEqual(3 * LOADS_AT_ONCE, len(seen))
@@ -176,6 +215,39 @@
 
         serve(app, scenario)
 
+    def test_appends_that_wait_for_those_of_other_daemons_are_answered(self):
+        # All timed out, and the repeats waited behind what they had given up.
+        self.patch(store, "CALL_TIMEOUT_SECONDS", 0.3)
+        self.patch(store, "APPEND_QUEUE_SECONDS", 0.5)
+        model, partition, append_seconds, stored = StoreModel(), anyio.Lock(), 0.06, []
+
+        async def app(scope, receive, send):
+            message = await receive()
+
+            async def received():
+                return message
+
+            async with partition:
+                await anyio.sleep(append_seconds)
+                await model.app(scope, received, send)
+
+        async def append_for_ever(address, number):
+            client = StoreClient.from_config(StoreSettings(address))
+            appender = Appender("jobs", 1, client, Producer(f"daemon-{number}", 1))
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(appender.run)
+                while True:
+                    stored.append(await appender.append((("key", b"value"),), 10.0))
+
+        async def scenario(address):
+            with anyio.move_on_after(3.0):
+                async with anyio.create_task_group() as task_group:
+                    for number in range(8):
+                        task_group.start_soon(append_for_ever, address, number)
+
+        serve(app, scenario)
+        self.assertGreater(len(stored), 3.0 / append_seconds / 2)
+
     def test_record_longer_than_the_limit_of_a_read_is_read(self):
         # A follower on a thin link would never get past it.
         async def app(scope, receive, send):
@@ -206,7 +278,7 @@
     async def cancel(self, queue, job_id, timeout):
         return self.acceptance
 
-    async def phase(self, queue, job_id):
+    async def phase(self, queue, job_id, timeout):
         if self.job_phase == "unknown":
             raise StateUnknownError("the store is down")
         return self.job_phase
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -14,6 +14,7 @@
 from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobPhase
 from azurelanding.membership import partition_of
+from azurelanding.site_daemon import MAX_STORE_SILENCE_SECONDS
 from azurelanding.start_budget import LINK_SHARE
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import (
@@ -38,7 +39,7 @@
     """Wait until a daemon reports that ``job`` is in ``phase``."""
     service = world.daemons[number].service
     with anyio.fail_after(12):
-        while await service.phase(QUEUE, job.id) is not phase:  # noqa: ASYNC110
+        while await service.phase(QUEUE, job.id, 5.0) is not phase:  # noqa: ASYNC110
             await anyio.sleep(0.02)
 
 
@@ -476,7 +477,7 @@
             self.assertEqual(Acceptance.ACCEPTED, cancelled)
             models = world.fleet.models.values()
             await until(lambda: not any(model.running for model in models))
-            phase = await service.phase(QUEUE, job.id)
+            phase = await service.phase(QUEUE, job.id, 5.0)
             self.assertEqual(JobPhase.CANCELLED, phase)
 
         self.run_site(scenario)
@@ -495,6 +496,23 @@
         world = self.run_site(scenario)
         self.assertEqual({}, count_starts(world, job))
 
+    def test_submission_to_a_store_known_to_be_silent_is_refused(self):
+        # It was sent and left unknown, so that its caller could not try again.
+        job = make_job()
+
+        async def scenario(world):
+            await until(lambda: world.daemons[0].controllers)
+            service = world.daemons[0].service
+            world.store.knobs.silent = True
+            await anyio.sleep(MAX_STORE_SILENCE_SECONDS + 0.3)
+            self.assertEqual(Acceptance.REFUSED, await service.submit(job, 0.5))
+            world.store.knobs.silent = False
+            await anyio.sleep(1.0)
+            self.assertEqual({}, count_starts(world, job))
+            self.assertEqual(Acceptance.ACCEPTED, await service.submit(job, 0.5))
+
+        self.run_site(scenario)
+
     def test_urgent_task_overtakes_starts_that_the_link_has_no_room_for(self):
         # 40 starts of 2.8 KB take 3.7 seconds at 0.6 of 50 KB/s.
         spec = "s" * 2_400
@@ -597,7 +615,7 @@
     def test_phase_of_an_unknown_job_is_none(self):
         async def scenario(world):
             await until(lambda: world.daemons[0].controllers)
-            phase = await world.daemons[0].service.phase(QUEUE, "f" * 16)
+            phase = await world.daemons[0].service.phase(QUEUE, "f" * 16, 5.0)
             self.assertIsNone(phase)
 
         self.run_site(scenario)
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -4,7 +4,12 @@
 import attrs
 import structlog
 
-from azurelanding.store import OffsetOutOfRangeError, StoreError
+from azurelanding.store import (
+    OffsetOutOfRangeError,
+    StoreError,
+    StoreNoResponseError,
+    StoreRefusedError,
+)
 from azurelanding.utils import Notifier
 
 logger = structlog.get_logger()
@@ -61,10 +66,31 @@
         self.is_behind = self.next_offset < batch.end
         self.caught_up_at = read_at
 
-    def sorted_changes(self):
-        """Return the changes in the order of their offsets, each once."""
-        changes = {record.offset: record for record in self.changes}
-        return [changes[offset] for offset in sorted(changes)]
+    def newest(self):
+        """Return the newest record of each key over the pages and the changes.
+
+        A page may hold a key that was deleted later, and a later page what was stored
+        after that: one after the other, they would give a state that never was.
+        """
+        newest = {}
+        for record in (*self.records, *self.changes):
+            known = newest.get(record.key)
+            if known is None or known.offset < record.offset:
+                newest[record.key] = record
+        return newest.values()
+
+
+@attrs.define(eq=False)
+class PendingRefresh:
+    """A caller that waits for ``run_refreshes``, and the error if the read failed."""
+
+    settled: anyio.Event = attrs.field(factory=anyio.Event)
+    error: StoreError | None = None
+
+    def settle(self, error=None):
+        """Set the result and wake the caller."""
+        self.error = error
+        self.settled.set()
 
 
 class TopicFollower:
@@ -74,9 +100,11 @@
     state before the newest records are loaded again, sorted by its ``load_order``.
     ``read_delay()`` returns the seconds between two reads, and ``max_wait`` is the
     longest time in seconds that the store waits for a record before it responds.
-    ``caught_up_at`` is when the last read began that reached the end of the partition.
+    ``caught_up_at`` is when the last read began that reached the end of the partition,
+    ``answered_at`` when the store last answered.
     ``loads`` holds the loads under way; ``paused_load`` is one of them that has lost a
-    page, and which the next attempt continues.
+    page, and which the next attempt continues. ``pending_refreshes`` are the callers
+    that wait for the next refresh.
     """
 
     def __init__(self, topic, partition, make_client, fold, read_delay, max_wait):
@@ -89,12 +117,15 @@
         self.max_wait = max_wait
         self.next_offset = None
         self.caught_up_at = -1.0
+        self.answered_at = -1.0
         self.is_reachable = True
         self.refresh_lock = anyio.Lock()
         self.load_count = 0
         self.newest_load = 0
         self.loads = []
         self.paused_load = None
+        self.pending_refreshes = []
+        self.refresh_requested = Notifier()
         self.changes = Notifier()
 
     @property
@@ -129,6 +160,7 @@
                     load.add_changes(batch, read_at)
                 else:
                     load.add_page(await client.newest(*source, load.last_key), read_at)
+                self.answered_at = anyio.current_time()
         except OffsetOutOfRangeError:
             can_continue = False
             raise
@@ -143,7 +175,7 @@
         """Replace the state by the newest record of each key.
 
         A load takes long where the link is thin. What was stored meanwhile may be newer
-        than the pages that were read before, so it is applied on top. That includes the
+        than the pages that were read before, so it counts too. That includes the
         records applied by this daemon, so ``next_offset`` never moves back.
         """
         load = self._begin_or_continue_load()
@@ -156,7 +188,7 @@
             self.loads.remove(self.paused_load)
             self.paused_load = None
         self.fold.clear()
-        for record in sorted(load.records, key=self.fold.load_order):
+        for record in sorted(load.newest(), key=self.fold.load_order):
             self.fold.apply_stored(record)
         self.next_offset = max(load.next_offset, self.next_offset or 0)
         self.caught_up_at = max(self.caught_up_at, load.caught_up_at)
@@ -168,12 +200,15 @@
             next_offset=load.next_offset,
             seconds=round(anyio.current_time() - load.started_at, 3),
         )
-        self.apply(load.sorted_changes())
+        for other in self.loads:
+            other.changes.extend(load.changes)
+        self.changes.notify()
 
     async def _read(self, client, max_wait):
         started_at = anyio.current_time()
         start = self.next_offset
         batch = await client.read(self.topic, self.partition, start, max_wait)
+        self.answered_at = anyio.current_time()
         new_records = [
             record for record in batch.records if record.offset >= self.next_offset
         ]
@@ -229,6 +264,11 @@
         while True:
             try:
                 await self._read_next()
+            except StoreRefusedError as error:
+                self._log_reachability(error)
+                # More reads than the store serves would never let it recover.
+                await anyio.sleep(max(RETRY_DELAY_SECONDS, self.read_delay()))
+                continue
             except StoreError as error:
                 self._log_reachability(error)
                 await anyio.sleep(RETRY_DELAY_SECONDS)
@@ -248,6 +288,35 @@
             while self.caught_up_at < called_at:
                 await self._read_or_load(self.refresher, 0.0)
 
+    async def run_refreshes(self):
+        """Refresh for all callers that wait together, until cancelled."""
+        while True:
+            await self.refresh_requested.wait_until(lambda: self.pending_refreshes)
+            pending, self.pending_refreshes = self.pending_refreshes, []
+            error = None
+            try:
+                await self.refresh()
+            except StoreError as failure:
+                error = failure
+            for refresh in pending:
+                refresh.settle(error)
+
+    async def refresh_within(self, max_wait):
+        """Do as ``refresh`` does, for ``max_wait`` seconds; needs ``run_refreshes``.
+
+        A read or a load that takes longer goes on, so that a later call does not start
+        it again.
+        """
+        pending = PendingRefresh()
+        self.pending_refreshes.append(pending)
+        self.refresh_requested.notify()
+        with anyio.move_on_after(max_wait):
+            await pending.settled.wait()
+        if not pending.settled.is_set():
+            raise StoreNoResponseError(f"{self.topic} was not read in time")
+        if pending.error is not None:
+            raise pending.error
+
     async def close(self):
         """Close the connections; may be called twice."""
         await self.reader.close()
