Keep the minimum size of pools when the fleet controller moves

A new fleet controller takes half of an even split of the hosts that are not on standby at that moment as the minimum of each pool. When most hosts have been returned to standby that is a fraction of what the first one found, and less after each move of the role. These hosts serve the first second or two of a surge, so callers see the start of each later surge late (SHORT).

The minimum is now half of an even split of all hosts over all pools, with the standby pool. It doesn't change with what is on standby.

test_new_fleet_controller_finds_the_same_minimum_while_hosts_are_on_standby failed before: 2 hosts where the first controller had 4.

--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -14,8 +14,8 @@
 from azurelanding.jobs import longest_chain
 
 MIN_HOSTS_SHARE = 0.5
-"""Minimum size of a pool in use, as a share of an even split of the hosts. These hosts
-serve the first second of a surge, until hosts from standby are up."""
+"""Minimum size of a pool in use, as a share of an even split of all hosts over all
+pools. They serve the first second of a surge, until hosts from standby are up."""
 USABLE_CORES_SHARE = 0.9
 """Share of a host's cores that pool sizes count on; tasks rarely fill a whole host."""
 TIMELINESS_WORTH_HOSTS = (Timeliness.LONG_RUNNING, Timeliness.IN_TIME)
@@ -108,9 +108,13 @@
 
 
 def min_hosts_per_pool(hosts, pools, standby):
-    """Return the minimum number of hosts of each pool in use."""
-    running = sum(host.pool not in standby for host in hosts.values())
-    return max(1, math.ceil(MIN_HOSTS_SHARE * running / max(1, len(pools))))
+    """Return the minimum number of hosts of each pool in use.
+
+    It does not depend on how many hosts are on standby now, so that a new fleet
+    controller finds the same number.
+    """
+    count = len(standby.union(pools))
+    return max(1, math.ceil(MIN_HOSTS_SHARE * len(hosts) / max(1, count)))
 
 
 def count_hosts(hosts, plans):
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -221,6 +221,16 @@
         moves = self.moves({"a": 1.0, "b": 20.0}, hosts)
         self.assertEqual(["b", "b"], [pool for _, pool in moves])
 
+    def test_new_fleet_controller_finds_the_same_minimum_while_hosts_are_on_standby(
+        self,
+    ):
+        def minimum(**pools):
+            return pool_sizes.min_hosts_per_pool(make_hosts(pools), {"a", "b"}, {"off"})
+
+        self.assertEqual(4, minimum(a=8, b=8, off=8))
+        self.assertEqual(4, minimum(a=4, b=4, off=16))
+        self.assertEqual(4, minimum(a=16, b=8, off=0))
+
     def test_hosts_are_not_walked_for_each_pool(self):
         class CountedHosts(dict):
             walks = 0
