--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -14,6 +14,7 @@
 from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobPhase
 from azurelanding.membership import partition_of
+from azurelanding.site_daemon import MAX_STORE_SILENCE_SECONDS
 from azurelanding.start_budget import LINK_SHARE
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import (
@@ -38,7 +39,7 @@
     """Wait until a daemon reports that ``job`` is in ``phase``."""
     service = world.daemons[number].service
     with anyio.fail_after(12):
-        while await service.phase(QUEUE, job.id) is not phase:  # noqa: ASYNC110
+        while await service.phase(QUEUE, job.id, 5.0) is not phase:  # noqa: ASYNC110
             await anyio.sleep(0.02)
 
 
@@ -117,6 +118,18 @@
         world = self.run_site(scenario)
         self.assertEqual([1] * 6, list(count_starts(world, job).values()))
 
+    def test_ends_that_do_not_fit_into_one_report_start_no_task_twice(self):
+        job = make_job(steps=(make_step(6),))
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.ends_per_report = 2
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        world = self.run_site(scenario, workers=1)
+        self.assertEqual([1] * 6, list(count_starts(world, job).values()))
+
     def test_full_pool_is_not_searched_for_each_task_of_the_backlog(self):
         # Each search holds up the calls that extend the leases of the workers.
         filling = make_job("f" * 16, steps=(make_step(16, long_running=True),))
@@ -279,6 +292,23 @@
 
         self.run_site(scenario, workers=1, lease=6.0)
 
+    def test_worker_whose_clock_was_set_back_at_its_start_gets_tasks(self):
+        job = make_job()
+
+        async def scenario(world):
+            (earlier,) = world.fleet.models.values()
+            earlier.incarnation = 7
+            world.store.put("workers", earlier.name, b"entry")
+            (daemon,) = world.daemons
+            await until(lambda: daemon.registry.newest_by_host)
+            earlier.knobs.silent = True
+            world.add_worker("later", host=earlier.host)
+            world.store.put("workers", earlier.name, None)
+            await submit(world, job)
+            await until_phase(world, job, JobPhase.COMPLETED)
+
+        self.run_site(scenario, workers=1)
+
     def order_host(self, is_ended):
         """Record an order to the host of a run; return how often its task started.
 
@@ -447,7 +477,7 @@
             self.assertEqual(Acceptance.ACCEPTED, cancelled)
             models = world.fleet.models.values()
             await until(lambda: not any(model.running for model in models))
-            phase = await service.phase(QUEUE, job.id)
+            phase = await service.phase(QUEUE, job.id, 5.0)
             self.assertEqual(JobPhase.CANCELLED, phase)
 
         self.run_site(scenario)
@@ -466,6 +496,23 @@
         world = self.run_site(scenario)
         self.assertEqual({}, count_starts(world, job))
 
+    def test_submission_to_a_store_known_to_be_silent_is_refused(self):
+        # It was sent and left unknown, so that its caller could not try again.
+        job = make_job()
+
+        async def scenario(world):
+            await until(lambda: world.daemons[0].controllers)
+            service = world.daemons[0].service
+            world.store.knobs.silent = True
+            await anyio.sleep(MAX_STORE_SILENCE_SECONDS + 0.3)
+            self.assertEqual(Acceptance.REFUSED, await service.submit(job, 0.5))
+            world.store.knobs.silent = False
+            await anyio.sleep(1.0)
+            self.assertEqual({}, count_starts(world, job))
+            self.assertEqual(Acceptance.ACCEPTED, await service.submit(job, 0.5))
+
+        self.run_site(scenario)
+
     def test_urgent_task_overtakes_starts_that_the_link_has_no_room_for(self):
         # 40 starts of 2.8 KB take 3.7 seconds at 0.6 of 50 KB/s.
         spec = "s" * 2_400
@@ -568,7 +615,7 @@
     def test_phase_of_an_unknown_job_is_none(self):
         async def scenario(world):
             await until(lambda: world.daemons[0].controllers)
-            phase = await world.daemons[0].service.phase(QUEUE, "f" * 16)
+            phase = await world.daemons[0].service.phase(QUEUE, "f" * 16, 5.0)
             self.assertIsNone(phase)
 
         self.run_site(scenario)
