Read the answer to an order that arrives while the event loop is busy

Callers saw late jobs; an order that a worker had carried out counted as unanswered, its connection was dropped, and the start was sent again with its specification.

Cause: a busy event loop finds the answer and the end of the order's time in the same turn; it hands the answer to the task, and cancels the task before that has read it.

The time of an order is now extended once by as much as the loop is late, and by the timeout itself at most. The loop looks at its sockets before its timers, so what arrived by then is read in that time; a worker that is silent is noticed that much later. Only orders are changed: their answer says what was carried out, and stays true. Reports are counted from when they are read, so reading one after a stop of the process would need a change of `lease_permission` first; that is listed as open.

The test failed before: "run-stop: no answer from 127.0.0.1:33585: TimeoutError()".

--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -1,5 +1,6 @@
 """Send HTTP requests to one peer over a persistent connection."""
 
+import asyncio
 import contextlib
 
 import anyio
@@ -28,6 +29,30 @@
         return isinstance(self.__cause__, (TimeoutError, httpcore.TimeoutException))
 
 
+@contextlib.contextmanager
+def fail_after_reading(seconds):
+    """Raise ``TimeoutError`` after ``seconds``, once what has arrived by then is read.
+
+    A busy event loop finds an answer and the end of the time for it together, and
+    ``anyio.fail_after`` would drop the answer. Here the time is extended once by as
+    much as the loop is late, and by ``seconds`` at most.
+    """
+    loop = asyncio.get_running_loop()
+    due_at = loop.time() + seconds
+    with anyio.CancelScope() as scope:
+
+        def expire():
+            scope.deadline = loop.time() + min(loop.time() - due_at, seconds)
+
+        timer = loop.call_at(due_at, expire)
+        try:
+            yield scope
+        finally:
+            timer.cancel()
+    if scope.cancelled_caught:
+        raise TimeoutError
+
+
 class HttpClient:
     """A connection to one peer, opened on demand, for one request at a time.
 
@@ -99,14 +124,22 @@
         response = await self.send(method, target, body, headers, timeout)
         return response.status, response.content
 
-    async def send(self, method, target, body=b"", headers=(), timeout=None):
+    async def send(
+        self,
+        method,
+        target,
+        body=b"",
+        headers=(),
+        timeout=None,
+        limit_time=anyio.fail_after,
+    ):
         """Send a request and return the ``httpcore.Response`` with its whole body.
 
-        ``timeout`` in seconds replaces that of the client. Raises
-        ``HttpClientError`` when there is no complete answer in time.
+        ``timeout`` in seconds replaces that of the client, and ``limit_time(timeout)``
+        applies it. Raises ``HttpClientError`` when there is no complete answer in time.
         """
         async with (
-            self._exchange(timeout),
+            self._exchange(timeout, limit_time),
             await self._stream(method, target, headers, body) as response,
         ):
             content = await response.aread()
@@ -134,12 +167,12 @@
         return response.status, content
 
     @contextlib.asynccontextmanager
-    async def _exchange(self, timeout):
+    async def _exchange(self, timeout, limit_time=anyio.fail_after):
         """Limit the time of an exchange, and close the connection if it fails."""
         max_wait = self.timeout if timeout is None else timeout
         async with self.lock:
             try:
-                with anyio.fail_after(max_wait) as scope:
+                with limit_time(max_wait) as scope:
                     yield scope
             except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
                 message = f"can't connect to {self.address}: {error}"
--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -5,12 +5,13 @@
 
 import http
 
+import anyio
 import msgspec
 import structlog
 
 from azurelanding.answer_timeout import AnswerTimeout
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
-from azurelanding.http_client import HttpClient, HttpClientError
+from azurelanding.http_client import HttpClient, HttpClientError, fail_after_reading
 from azurelanding.jobs import RunEnd, TaskId
 from azurelanding.settings import split_address
 from azurelanding.tasks import Resources
@@ -162,20 +163,21 @@
         connection = HttpClient(worker.address, ORDER_TIMEOUT_SECONDS, on_open)
         return cls(worker, epoch, connection, lease / CALLS_PER_LEASE)
 
-    async def _call(self, name, values, timeout):
+    async def _call(self, name, values, timeout, limit_time=anyio.fail_after):
         headers = (
             ("Content-Type", "application/json"),
             ("X-Expected-Instance", self.worker.id),
         )
         body = msgspec.json.encode({**values, "fencingToken": self.epoch})
         try:
-            status, content = await self.connection.request(
-                "POST", f"/v1/{name}", body, headers, timeout
+            response = await self.connection.send(
+                "POST", f"/v1/{name}", body, headers, timeout, limit_time
             )
         except HttpClientError as error:
             raise WorkerNoResponseError(
                 f"{name}: {error}", error.sent, error.timed_out
             ) from error
+        status, content = response.status, response.content
         if status == http.HTTPStatus.OK:
             return content
         if status == http.HTTPStatus.MISDIRECTED_REQUEST:
@@ -199,7 +201,7 @@
         """Make a call that the worker answers at once, and adapt the timeout to it."""
         timeout, sent_at = self.order_timeout.seconds, boot_time()
         try:
-            await self._call(name, values, timeout)
+            await self._call(name, values, timeout, fail_after_reading)
         except WorkerNoResponseError as error:
             if error.sent or error.timed_out:
                 self.order_timeout.record_no_answer(timeout)
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -1,6 +1,8 @@
 """Test a link to a worker over real connections whose answers come late."""
 
 import socket
+import threading
+import time
 
 import anyio
 import msgspec
@@ -39,6 +41,17 @@
         await send_reply(send, 200, (), msgspec.json.encode(answer))
 
 
+def answer_once(listener, arrived, may_answer):
+    """Answer one request from a thread, as another host would, once it may."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(1 << 16)
+        arrived.set()
+        may_answer.wait()
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        connection.recv(1 << 16)
+
+
 def make_entry(address):
     """Return the entry of a worker at ``address``."""
     return WorkerEntry(
@@ -152,3 +165,27 @@
 
         anyio.run(main)
         self.assertEqual([0, 57, 0, 57], dropped_up_to)
+
+    def test_order_that_is_answered_while_the_daemon_is_busy_is_answered(self):
+        async def stop():
+            arrived, may_answer = threading.Event(), threading.Event()
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = "{}:{}".format(*listener.getsockname())
+                worker = threading.Thread(
+                    target=answer_once, args=(listener, arrived, may_answer)
+                )
+                worker.start()
+                client = WorkerClient.from_config(
+                    make_entry(address), 1, LEASE_SECONDS, lambda: None
+                )
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(client.stop, TASK, 1)
+                    while not arrived.is_set():  # noqa: ASYNC110
+                        await anyio.sleep(0.001)
+                    # As a long pass does, this holds up the event loop.
+                    may_answer.set()
+                    time.sleep(1.5 * client.order_timeout.seconds)  # noqa: ASYNC251
+                await client.close()
+                worker.join()
+
+        anyio.run(stop)
