--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -16,6 +16,7 @@
     OffsetOutOfRangeError,
     ReadRecords,
     StoredRecord,
+    StoreError,
     StoreFencedError,
     StoreNoResponseError,
     StoreRefusedError,
@@ -30,9 +31,9 @@
 CALL_TIMEOUT_SECONDS = 1.2
 """Timeout of a call; longer than the slowest answers of a store that is 60 times
 slower than its usual 4 ms."""
-LONGEST_APPEND_TIMEOUT_SECONDS = 2.4
-"""Timeout of an append after one without an answer. An append waits at the store for
-up to 2 s for others to the same partition, and then for the slowest answers."""
+APPEND_QUEUE_SECONDS = 2.0
+"""Longest time for which appends wait at the store for others to the same partition;
+it refuses those that would wait longer."""
 JOIN_TIMEOUT_SECONDS = 0.5
 """Timeout of a join, and of a read of the holders before it; less than half of the
 shortest membership that is requested, so that a join whose answer is lost can be
@@ -144,7 +145,7 @@
         self.page_timeout = page_timeout
         self.page_turns = page_turns
         self.append_timeout = AnswerTimeout(
-            CALL_TIMEOUT_SECONDS, LONGEST_APPEND_TIMEOUT_SECONDS
+            CALL_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS + APPEND_QUEUE_SECONDS
         )
 
     @classmethod
@@ -224,21 +225,14 @@
             status, content = await self._call(
                 "POST", "log-append", query, body, waited + transfer
             )
-        except StoreNoResponseError as error:
+        except StoreError as error:
             if error.__cause__.timed_out:
-                self._record_no_answer(waited)
+                self.append_timeout.record_no_answer(waited)
             raise
         if status == http.HTTPStatus.OK:
             self.append_timeout.record_answer(boot_time() - sent_at - transfer)
         return status, content
 
-    def _record_no_answer(self, waited):
-        """Wait longer next time, unless the answer was not late but lost."""
-        if waited < self.append_timeout.longest:
-            self.append_timeout.record_no_answer(waited)
-        else:
-            self.append_timeout.record_answer(0.0)
-
     async def read(self, topic, partition, start, wait=0.0):
         """Return the ``ReadRecords`` from offset ``start`` on.
 
