--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -77,7 +77,7 @@
             daemon,
             self.wake,
             self.end_control,
-            self._count_repeat,
+            self._charge_repeat,
         )
         self.links = self.pool_links.links
         self.task_backoffs = {}
@@ -417,7 +417,7 @@
         """Count the bytes of a start against the budget."""
         self.start_budget.spend(self, order_bytes(order))
 
-    def _count_repeat(self, order):
+    def _charge_repeat(self, order):
         """Count the repetition of a start; return the seconds until there is room.
 
         It goes before starts that are not decided yet, which wait until it is paid for.
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -7,7 +7,7 @@
 from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
 from azurelanding.utils import boot_time
-from azurelanding.worker_link import WorkerLink
+from azurelanding.worker_link import LinkController, WorkerLink
 
 CLOSE_SECONDS = 1.0
 """Timeout for closing a worker's connections."""
@@ -22,22 +22,29 @@
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
     ``late_starts`` maps the workers whose link was dropped while it had unanswered
     starts to these and to ``born`` of the incarnation that may still carry them out.
-    ``wake`` is called when a link has new reports or refusals to process,
-    ``end_control`` when a worker has received a call with a higher epoch, and
-    ``count_repeat(order)`` before a start is sent again, after the seconds it returns.
+    ``controller`` holds what the links use of the controller, such as ``wake``,
+    ``end_control`` and ``charge_repeat``.
     """
 
-    def __init__(self, pool, epoch, ledger, daemon, wake, end_control, count_repeat):
+    def __init__(self, pool, epoch, ledger, daemon, wake, end_control, charge_repeat):
         self.pool = pool
         self.epoch = epoch
         self.ledger = ledger
         self.daemon = daemon
-        self.wake = wake
-        self.end_control = end_control
-        self.count_repeat = count_repeat
         self.watch = LinkWatch(pool, daemon.metrics)
         self.links = {}
         self.permission = LeasePermission(pool, daemon.member, self.links)
+        self.controller = LinkController(
+            make_client=self._make_client,
+            lease=daemon.site.timing.longest_lease,
+            notify=wake,
+            end_control=end_control,
+            is_startable=self._is_startable,
+            charge_repeat=charge_repeat,
+            is_leaving=self._is_leaving,
+            watch=self.watch,
+            permission=self.permission,
+        )
         self.scopes = {}
         self.late_starts = {}
         self.registered = {}
@@ -68,18 +75,7 @@
                 del self.late_starts[worker_id]
 
     def _add(self, entry, task_group):
-        link = WorkerLink(
-            entry,
-            self._make_client,
-            self.daemon.site.timing.longest_lease,
-            self.wake,
-            self.end_control,
-            self._is_startable,
-            self.count_repeat,
-            self._is_leaving,
-            self.watch,
-            self.permission,
-        )
+        link = WorkerLink(entry, self.controller)
         for key in self.ledger.placed.get(entry.id, ()):
             link.adopt_run(key)
         starts, born = self.late_starts.pop(entry.id, ((), entry.born))
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -18,7 +18,7 @@
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.standins.platform_worker import WorkerFleet, WorkerModel
 from azurelanding.tasks import Resources
-from azurelanding.worker_link import WorkerLink
+from azurelanding.worker_link import LinkController, WorkerLink
 
 LEASE_SECONDS = 1.0
 
@@ -33,24 +33,24 @@
     return Job(job_id, "q", pool, "spec", steps or (make_step(),), 1.0, **fields)
 
 
-def make_link(name="w", **fields):
+def make_link(name="w", entry=None, **fields):
     """Return the link to a worker of the pool "cuts" that has not called it yet.
 
-    ``fields`` replace the arguments of ``WorkerLink``.
+    ``fields`` replace those of its ``LinkController``.
     """
-    arguments = {
-        "entry": WorkerModel(name, "cuts").entry(),
+    controller = {
         "make_client": lambda entry: None,
         "lease": 6.0,
         "notify": lambda: None,
         "end_control": lambda: None,
         "is_startable": lambda task: True,
-        "count_repeat": lambda order: 0.0,
+        "charge_repeat": lambda order: 0.0,
         "is_leaving": lambda worker_id: False,
         "watch": LinkWatch("cuts", ServedMetrics()),
         "permission": LeasePermission("cuts", GroupMember("", "", (), None, 0.0), {}),
     }
-    return WorkerLink(**{**arguments, **fields})
+    entry = entry or WorkerModel(name, "cuts").entry()
+    return WorkerLink(entry, LinkController(**{**controller, **fields}))
 
 
 def make_queue(pool="cuts", name="q"):
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -67,7 +67,7 @@
         super().setUp()
         self.repeats = []
 
-    def count_repeat(self, order):
+    def charge_repeat(self, order):
         self.repeats.append(order)
         return 0.0
 
@@ -85,7 +85,7 @@
             link = make_link(
                 make_client=lambda entry: client,
                 is_startable=lambda task: is_startable,
-                count_repeat=self.count_repeat,
+                charge_repeat=self.charge_repeat,
             )
             link.clock = (1.0, boot_time())
             link.last_hold_failed = is_silent
@@ -187,7 +187,7 @@
 
         async def main():
             link = make_link(
-                make_client=lambda entry: None, count_repeat=lambda order: seconds
+                make_client=lambda entry: None, charge_repeat=lambda order: seconds
             )
             link.clock = (1.0, boot_time())
             async with anyio.create_task_group() as task_group:
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -7,11 +7,15 @@
 """
 
 import contextlib
+from collections.abc import Callable
 
 import anyio
+import attrs
 import structlog
 
 from azurelanding.answer_timeout import AnswerTimeout
+from azurelanding.lease_permission import LeasePermission
+from azurelanding.link_watch import LinkWatch
 from azurelanding.order_queue import OrderQueue
 from azurelanding.run_progress import RunProgress
 from azurelanding.utils import Notifier, boot_time
@@ -57,6 +61,31 @@
     return None if seconds is None else round(seconds, 3)
 
 
+@attrs.frozen
+class LinkController:
+    """What the links of a pool use of its controller.
+
+    ``make_client(entry)`` returns a client of a worker, and ``lease`` is in seconds.
+    ``notify()`` is called when a link has ends, losses or refusals to process, and
+    ``end_control()`` when a worker refuses the epoch as superseded.
+    ``is_startable(task_id)`` returns whether a placed task may still start, and
+    ``is_leaving(worker_id)`` whether a worker is known to be going away.
+    ``charge_repeat(order)`` charges the budget for an unanswered start that is to be
+    sent again, and returns the seconds to wait before. ``watch`` is the ``LinkWatch``
+    of the pool and ``permission`` the ``LeasePermission`` of its controller.
+    """
+
+    make_client: Callable
+    lease: float
+    notify: Callable
+    end_control: Callable
+    is_startable: Callable
+    charge_repeat: Callable
+    is_leaving: Callable
+    watch: LinkWatch
+    permission: LeasePermission
+
+
 class WorkerLink:
     """One worker's state as a pool's controller knows it, and the tasks that call it.
 
@@ -95,42 +124,17 @@
       with an answer, and ``silent_since`` the ``boot_time`` of the last report before
       the worker stopped answering.
 
-    ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
-    ``notify`` is called when there are ends, losses or refusals to process,
-    ``end_control`` when the worker refuses the epoch as superseded,
-    ``is_startable(task_id)`` returns whether a placed task may still start,
-    ``count_repeat(order)`` is called before an unanswered start is sent again and
-    returns the seconds to wait before,
-    ``is_leaving(worker_id)`` returns whether a worker is known to be going away,
-    ``watch`` is the ``LinkWatch`` of the pool and ``permission`` the
-    ``LeasePermission`` of its controller.
+    ``controller`` is the ``LinkController`` of the pool's controller.
     """
 
-    def __init__(
-        self,
-        entry,
-        make_client,
-        lease,
-        notify,
-        end_control,
-        is_startable,
-        count_repeat,
-        is_leaving,
-        watch,
-        permission,
-    ):
+    def __init__(self, entry, controller):
         self.entry = entry
-        self.hold_client = make_client(entry)
-        self.backup_client = make_client(entry)
-        self.order_clients = [make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)]
-        self.lease = lease
-        self.notify = notify
-        self.end_control = end_control
-        self.is_startable = is_startable
-        self.count_repeat = count_repeat
-        self.is_leaving = is_leaving
-        self.watch = watch
-        self.permission = permission
+        self.controller = controller
+        self.hold_client = controller.make_client(entry)
+        self.backup_client = controller.make_client(entry)
+        self.order_clients = [
+            controller.make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)
+        ]
         self.runs = {}
         self.unanswered_starts = set()
         self.start_times = {}
@@ -144,7 +148,7 @@
         self.lost_runs = []
         self.stops = {}
         self.paces = {}
-        self.orders = OrderQueue(watch.observe_order_wait)
+        self.orders = OrderQueue(controller.watch.observe_order_wait)
         self.order_added = Notifier()
         self.ends_recorded = Notifier()
         self.has_answered = False
@@ -154,14 +158,14 @@
         self.may_have_restarted = False
         self.overdue_at = None
         self.overdue_delay = AnswerTimeout(
-            SHORTEST_OVERDUE_SECONDS, lease / OVERDUE_CALLS_PER_LEASE
+            SHORTEST_OVERDUE_SECONDS, controller.lease / OVERDUE_CALLS_PER_LEASE
         )
         self.unanswered_calls = 0
         self.silent_since = None
         self.late_start_logged_at = None
         self.last_report_at = None
         self.clock = None
-        longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
+        longest = controller.lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
         self.leased_until = boot_time() + longest
         self.signs_of_end = ()
         self.end_seen_at = None
@@ -198,18 +202,20 @@
         if not self._may_extend_lease():
             return None
         worker_time, read_at = self.clock
-        return worker_time + (boot_time() - read_at) + self.lease
+        return worker_time + (boot_time() - read_at) + self.controller.lease
 
     def _may_extend_lease(self):
         is_reachable = self.clock is not None and not self.last_hold_failed
         is_settled = self.unanswered_starts <= self.runs.keys()
-        return is_reachable and is_settled and self.permission.is_given()
+        return is_reachable and is_settled and self.controller.permission.is_given()
 
     def extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
         if self._may_extend_lease():
             end = (
-                boot_time() + self.lease * (1 + CLOCK_DRIFT_SHARE) + LEASE_SLACK_SECONDS
+                boot_time()
+                + self.controller.lease * (1 + CLOCK_DRIFT_SHARE)
+                + LEASE_SLACK_SECONDS
             )
             self.leased_until = max(self.leased_until, end)
 
@@ -225,7 +231,7 @@
     def watched(self, name, wait=0.0):
         """Measure a call and count the unanswered ones in a row."""
         try:
-            with self.watch.call(name, wait):
+            with self.controller.watch.call(name, wait):
                 yield
         except WorkerNoResponseError:
             self.unanswered_calls += 1
@@ -243,7 +249,7 @@
             await self._hold(self.hold_client, wait)
             self.overdue_at = None
             await self._until_ends_recorded()
-        self.notify()
+        self.controller.notify()
 
     async def follow_while_overdue(self):
         """Make the calls while the answer on the first connection is overdue."""
@@ -257,7 +263,7 @@
                 self._record_no_response("the answer to hold is overdue")
             await self._hold(self.backup_client, self._next_wait())
             await self._until_ends_recorded()
-        self.notify()
+        self.controller.notify()
 
     async def _until_ends_recorded(self):
         """Wait for new ends to be recorded, as the next call would return them again.
@@ -318,7 +324,7 @@
                 "worker does not answer",
                 worker=self.entry.id,
                 reason=reason,
-                leaving=self.is_leaving(self.entry.id),
+                leaving=self.controller.is_leaving(self.entry.id),
                 unanswered=self.unanswered_calls,
                 report_age=round_seconds(self.report_age(now)),
             )
@@ -328,7 +334,7 @@
         """Record that the worker's incarnation has ended."""
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
-        self.permission.record_ended(self.entry.id)
+        self.controller.permission.record_ended(self.entry.id)
 
     def has_fallen_silent(self, signs_of_end, now):
         """Return whether the worker has not reported since signs of its end are known.
@@ -354,7 +360,7 @@
         """Record that another controller has called the worker under a later epoch."""
         logger.warning("worker refused the epoch as superseded", worker=self.entry.id)
         self.is_fenced = True
-        self.end_control()
+        self.controller.end_control()
 
     def _apply_report(self, report, sent_at):
         """Apply a report that was requested at ``sent_at``."""
@@ -365,7 +371,7 @@
         if self.last_hold_failed:
             silent = round_seconds(boot_time() - self.silent_since)
             logger.info("worker answers again", worker=self.entry.id, silent=silent)
-        self.permission.record_report(self.entry.id)
+        self.controller.permission.record_report(self.entry.id)
         self.clock = (report.clock, boot_time())
         self.last_report_at = boot_time()
         self.last_hold_failed = self.may_have_restarted = False
@@ -388,7 +394,7 @@
                 self._record_unlisted(key)
         had_answered, self.has_answered = self.has_answered, True
         if new_ends or self.lost_runs or not had_answered:
-            self.notify()
+            self.controller.notify()
 
     def _record_unlisted(self, key):
         """Record a run as lost, once the worker can't start it any more.
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -105,7 +105,7 @@
 async def _send_start(link, client, order, lease_end):
     """Send a start once; until it is answered, the run may start at any time."""
     link.unanswered_starts.add((order.task, order.run))
-    link.watch.count_start_bytes(order)
+    link.controller.watch.count_start_bytes(order)
     with link.watched("start"):
         await client.start(order, lease_end)
 
@@ -142,7 +142,9 @@
             return
         if may_have_started and not is_counted:
             is_counted = True
-            await _wait(link, client, link.count_repeat(order), may_have_started)
+            await _wait(
+                link, client, link.controller.charge_repeat(order), may_have_started
+            )
             # A report may have listed the run meanwhile.
             continue
         attempt, is_counted = attempt + 1, False
@@ -204,7 +206,7 @@
     """Return whether a start is still to be carried out."""
     is_over = link.has_ended or link.is_fenced
     is_expected = (order.task, order.run) in link.runs
-    return is_expected and not is_over and link.is_startable(order.task)
+    return is_expected and not is_over and link.controller.is_startable(order.task)
 
 
 def log_late_start(link, order, taken_at, attempt):
@@ -247,4 +249,4 @@
         link.unanswered_starts.discard(key)
         if key in link.runs and not (link.has_ended or link.is_fenced):
             link.not_started.append((key, refusal))
-    link.notify()
+    link.controller.notify()
