Refuse submissions at once while the store is known to be silent

What callers saw: since a submission waited unsent for all its time, up to 2.55 s, and was then refused.

Cause: the appender kept them for an answer that it had no reason to expect, behind an append that is being repeated too.

Change: such an append fails at once, as certainly not stored, also the ones that wait behind one that has no answer. A daemon that has just started waits as before: nothing is overdue yet.

Evidence: both tests failed before (the refusal took longer than 0.2 s; [NotStoredError] != []).

--- a/azurelanding/appender.py
+++ b/azurelanding/appender.py
@@ -60,8 +60,8 @@
     """Sends the appends of one producer to one partition, in order.
 
     ``on_fenced()`` is called when a producer with a higher epoch has written;
-    ``fenced`` then holds the error. While ``may_send()`` is false, new appends wait:
-    one that is not sent is certainly not stored. ``succeeded_at`` is when the last
+    ``fenced`` then holds the error. While ``may_send()`` is false, appends that are not
+    sent yet fail at once, as certainly not stored. ``succeeded_at`` is when the last
     append succeeded.
     """
 
@@ -94,6 +94,8 @@
         """
         if self.fenced is not None:
             raise NotStoredError("overtaken by a higher epoch") from self.fenced
+        if not self.may_send():
+            raise NotStoredError("the store has not answered lately")
         pending = PendingAppend(tuple(records), anyio.current_time() + max_wait)
         self.waiting.append(pending)
         self.arrivals.notify()
@@ -123,10 +125,10 @@
         """Send pending appends until cancelled or fenced."""
         while self.fenced is None:
             await self.arrivals.wait_until(lambda: bool(self.waiting))
-            if not self.may_send():
-                await anyio.sleep(RETRY_DELAY_SECONDS)
-                continue
-            await self._send(self._next_batch())
+            if self.may_send():
+                await self._send(self._next_batch())
+            else:
+                self._fail_waiting()
 
     async def _send(self, batch):
         """Append one batch and settle its pending appends."""
@@ -138,6 +140,8 @@
             except StoreNoResponseError as error:
                 may_be_stored = True
                 logger.info("no response to append, retrying", reason=str(error))
+                if not self.may_send():
+                    self._fail_waiting()
             except StoreRefusedError as error:
                 if not may_be_stored:
                     self._requeue(batch, error)
@@ -159,6 +163,11 @@
             self.topic, self.partition, records, self.producer, self.sequence
         )
 
+    def _fail_waiting(self):
+        for pending in self.waiting:
+            pending.settle(error=NotStoredError("the store has not answered lately"))
+        self.waiting = []
+
     def _settle_stored(self, batch, offset):
         self.sequence += 1
         self.succeeded_at = anyio.current_time()
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -51,7 +51,7 @@
     ``appender`` stores the requests of callers; a controller has an appender of its
     own. ``read_delay(partition)`` returns the seconds between two reads of a partition.
     ``store_answers()`` returns whether the store has answered lately; the requests of
-    callers are sent only then, so that others can be refused rather than left unknown.
+    callers are sent only then, and others refused at once rather than left unknown.
     """
 
     def __init__(
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -93,6 +93,7 @@
         self.controllers = {}
         self.scopes = {}
         self.last_epochs = {}
+        self.started_at = -1.0
         self.is_stopping = False
         self.task_group = None
         self.make_worker_client = service_clients.make_worker_client
@@ -186,14 +187,15 @@
         return WATCH_INTERVAL_SECONDS
 
     def _store_answers(self):
-        """Return whether the store has answered a read of this daemon lately."""
+        """Return whether the store has answered a read lately, or none is overdue."""
         followers = (
             self.configuration_follower,
             self.workers_follower,
             self.fleet_follower,
         )
-        answered_at = max(follower.answered_at for follower in followers)
-        return anyio.current_time() <= answered_at + MAX_STORE_SILENCE_SECONDS
+        answers = (follower.answered_at for follower in followers)
+        silent_since = max(self.started_at, *answers)
+        return anyio.current_time() <= silent_since + MAX_STORE_SILENCE_SECONDS
 
     def cordoned(self):
         """Return the workers to drain."""
@@ -354,6 +356,7 @@
     async def start(self, task_group):
         """Start the daemon's tasks in ``task_group``."""
         self.task_group = task_group
+        self.started_at = anyio.current_time()
         for follower in (
             self.configuration_follower,
             self.workers_follower,
--- a/azurelanding/tests/test_appender.py
+++ b/azurelanding/tests/test_appender.py
@@ -5,7 +5,7 @@
 
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
 from azurelanding.standins.platform_store import StoreModel
-from azurelanding.store import Producer
+from azurelanding.store import Producer, StoreError
 
 RECORD = (("k", b"v"),)
 
@@ -86,3 +86,26 @@
             self.assertIsNotNone(appender.fenced)
 
         self.run_with(scenario)
+
+    def test_append_behind_an_unanswered_one_fails_once_the_store_is_silent(self):
+        # It waited for all its time, in which its caller could have tried elsewhere.
+        async def scenario(appender, model):
+            model.knobs.delay_appends = 1_000
+            errors = []
+
+            async def append():
+                try:
+                    await appender.append(RECORD, 0.5)
+                except StoreError as error:
+                    errors.append(type(error))
+
+            async with anyio.create_task_group() as task_group:
+                for _ in range(2):
+                    task_group.start_soon(append)
+                    await anyio.sleep(0.02)
+                appender.may_send = lambda: False
+                await anyio.sleep(0.2)
+                self.assertEqual([NotStoredError], errors)
+            self.assertEqual([NotStoredError, OutcomeUnknownError], errors)
+
+        self.run_with(scenario)
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -467,8 +467,8 @@
         world = self.run_site(scenario)
         self.assertEqual({}, count_starts(world, job))
 
-    def test_submission_to_a_store_known_to_be_silent_is_refused(self):
-        # It was sent and left unknown, so that its caller could not try again.
+    def test_submission_to_a_store_known_to_be_silent_is_refused_at_once(self):
+        # It was sent, and left unknown once its time was over.
         job = make_job()
 
         async def scenario(world):
@@ -476,7 +476,9 @@
             service = world.daemons[0].service
             world.store.knobs.silent = True
             await anyio.sleep(MAX_STORE_SILENCE_SECONDS + 0.3)
-            self.assertEqual(Acceptance.REFUSED, await service.submit(job, 0.5))
+            with anyio.fail_after(0.2):
+                acceptance = await service.submit(job, 2.5)
+            self.assertEqual(Acceptance.REFUSED, acceptance)
             world.store.knobs.silent = False
             await anyio.sleep(1.0)
             self.assertEqual({}, count_starts(world, job))
