--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -5,13 +5,15 @@
 
 import http
 
+import anyio
 import msgspec
 import structlog
 
 from azurelanding.answer_timeout import AnswerTimeout
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
-from azurelanding.http_client import HttpClient, HttpClientError
+from azurelanding.http_client import HttpClient, HttpClientError, fail_after_reading
 from azurelanding.jobs import RunEnd, TaskId
+from azurelanding.settings import split_address
 from azurelanding.tasks import Resources
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
@@ -34,6 +36,8 @@
 order does no harm."""
 CALLS_PER_LEASE = 3
 """Number of unanswered calls within a lease, which gives their longest timeout."""
+MAX_ENDS_PER_REPORT = 500
+"""Number of ends that a worker returns at a time."""
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD_RUN,
@@ -52,22 +56,39 @@
     )
 
 
+def _decode_labels(labels):
+    if not isinstance(labels, list) or not all(isinstance(n, str) for n in labels):
+        raise TypeError(f"the labels are {labels!r}")
+    return tuple(labels)
+
+
+def _check_entry(entry):
+    """Raise an error if a field is of another type, or the address can't be called."""
+    texts = (entry.host, entry.pool, entry.address, entry.availability_zone)
+    if not all(isinstance(text, str) for text in texts):
+        raise TypeError(f"not a text among {texts}")
+    if not isinstance(entry.born, int):
+        raise TypeError(f"born is {entry.born!r}")
+    split_address(entry.address)
+
+
 def decode_worker_entry(worker_id, value):
     """Decode the entry of a worker; return ``None`` if it is invalid."""
     try:
         values = msgspec.json.decode(value)
-        return WorkerEntry(
+        entry = WorkerEntry(
             id=worker_id,
             host=values.get("machine", ""),
             pool=values["service"],
             address=values["address"],
             availability_zone=values["zone"],
             resources=decode_resources(values["capacity"]),
-            labels=tuple(values.get("labels", ())),
+            labels=_decode_labels(values.get("labels", [])),
             phase=WorkerPhase(values["state"]),
             born=values.get("born", 0),
             warmup_seconds=values.get("coldRemainingMs", 0) / MS_PER_SECOND,
         )
+        _check_entry(entry)
     except (
         msgspec.DecodeError,
         KeyError,
@@ -79,6 +100,7 @@
             "invalid worker entry ignored", worker=worker_id, fault=repr(error)
         )
         return None
+    return entry
 
 
 def parse_task_id(name):
@@ -103,11 +125,13 @@
 def decode_report(content):
     """Decode the answer to ``hold`` into a ``WorkerReport``."""
     values = msgspec.json.decode(content)
+    ends = tuple(map(_decode_end, values.get("finished", ())))
     return WorkerReport(
         clock=values["clockMs"] / MS_PER_SECOND,
         born=values.get("born", 0),
         runs=tuple(map(_decode_run, values.get("running", ()))),
-        ends=tuple(map(_decode_end, values.get("finished", ()))),
+        ends=ends,
+        has_all_ends=len(ends) < MAX_ENDS_PER_REPORT,
     )
 
 
@@ -139,20 +163,21 @@
         connection = HttpClient(worker.address, ORDER_TIMEOUT_SECONDS, on_open)
         return cls(worker, epoch, connection, lease / CALLS_PER_LEASE)
 
-    async def _call(self, name, values, timeout):
+    async def _call(self, name, values, timeout, limit_time=anyio.fail_after):
         headers = (
             ("Content-Type", "application/json"),
             ("X-Expected-Instance", self.worker.id),
         )
         body = msgspec.json.encode({**values, "fencingToken": self.epoch})
         try:
-            status, content = await self.connection.request(
-                "POST", f"/v1/{name}", body, headers, timeout
+            response = await self.connection.send(
+                "POST", f"/v1/{name}", body, headers, timeout, limit_time
             )
         except HttpClientError as error:
             raise WorkerNoResponseError(
                 f"{name}: {error}", error.sent, error.timed_out
             ) from error
+        status, content = response.status, response.content
         if status == http.HTTPStatus.OK:
             return content
         if status == http.HTTPStatus.MISDIRECTED_REQUEST:
@@ -176,7 +201,7 @@
         """Make a call that the worker answers at once, and adapt the timeout to it."""
         timeout, sent_at = self.order_timeout.seconds, boot_time()
         try:
-            await self._call(name, values, timeout)
+            await self._call(name, values, timeout, fail_after_reading)
         except WorkerNoResponseError as error:
             if error.sent or error.timed_out:
                 self.order_timeout.record_no_answer(timeout)
@@ -191,8 +216,11 @@
 
         ``lease_end`` is in seconds of the worker's clock; without it the lease stays as
         it is. The worker drops its ended runs up to number ``last_seen``, and waits
-        up to ``wait`` seconds for a run to end.
+        up to ``wait`` seconds for a run to end. On a new connection it drops none, as
+        another incarnation may answer, with numbers of its own.
         """
+        if not await self.connection.is_open():
+            last_seen = 0
         values = {"lastSeen": last_seen, "waitMs": int(wait * MS_PER_SECOND)}
         if lease_end is not None:
             values["deadlineMs"] = int(lease_end * MS_PER_SECOND)
--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -5,17 +5,17 @@
 standby.
 """
 
-import functools
+import collections
 import math
 
 from azurelanding.fleet_records import HostPlan
 from azurelanding.fleet_workers import HostPhase
-from azurelanding.job_placement import Timeliness, ready_steps, timeliness
+from azurelanding.job_placement import Timeliness, due_steps, timeliness
 from azurelanding.jobs import longest_chain
 
 MIN_HOSTS_SHARE = 0.5
-"""Minimum size of a pool in use, as a share of an even split of the hosts. These hosts
-serve the first second of a surge, until hosts from standby are up."""
+"""Minimum size of a pool in use, as a share of an even split of all hosts over all
+pools. They serve the first second of a surge, until hosts from standby are up."""
 USABLE_CORES_SHARE = 0.9
 """Share of a host's cores that pool sizes count on; tasks rarely fill a whole host."""
 TIMELINESS_WORTH_HOSTS = (Timeliness.LONG_RUNNING, Timeliness.IN_TIME)
@@ -34,10 +34,6 @@
 """Time that a surplus must last before the pool returns a host to standby."""
 
 
-def _never_in_cooldown(_task_id):
-    return False
-
-
 def _is_worth_hosts(state, now, occurrence, step):
     """Return whether hosts are added for the tasks of a step that is ready."""
     if step.fills:
@@ -54,13 +50,10 @@
     for state in states:
         if state.is_over:
             continue
-        for task_id, task in state.tasks.items():
-            step = state.job.steps[task_id.step]
-            if task.active and not step.fills:
-                cores += step.need.cores
-        accepts = functools.partial(_is_worth_hosts, state, now)
-        for ready in ready_steps(state, now, _never_in_cooldown, accepts):
-            cores += ready.step.need.cores * len(ready.tasks)
+        cores += state.running_cores()
+        for occurrence, number, step in due_steps(state, now):
+            if _is_worth_hosts(state, now, occurrence, step):
+                cores += step.need.cores * state.count_waiting(occurrence, number)
         for step in state.job.steps:
             if step.per_worker and step.long_running:
                 min_workers = max(min_workers, math.ceil(step.count / step.per_worker))
@@ -98,11 +91,9 @@
 def long_running_cores(states):
     """Return the cores that the tasks of long-running jobs use."""
     return sum(
-        state.job.steps[task_id.step].need.cores
+        state.running_cores()
         for state in states
         if state.job.is_long_running and not state.is_over
-        for task_id, task in state.tasks.items()
-        if task.active and not state.job.steps[task_id.step].fills
     )
 
 
@@ -117,23 +108,31 @@
 
 
 def min_hosts_per_pool(hosts, pools, standby):
-    """Return the minimum number of hosts of each pool in use."""
-    running = sum(host.pool not in standby for host in hosts.values())
-    return max(1, math.ceil(MIN_HOSTS_SHARE * running / max(1, len(pools))))
+    """Return the minimum number of hosts of each pool in use.
+
+    It does not depend on how many hosts are on standby now, so that a new fleet
+    controller finds the same number.
+    """
+    count = len(standby.union(pools))
+    return max(1, math.ceil(MIN_HOSTS_SHARE * len(hosts) / max(1, count)))
+
 
+def count_hosts(hosts, plans):
+    """Return by pool how many hosts it has once moves in progress and planned ones end.
 
-def count_hosts(hosts, plans, pool):
-    """Return how many hosts a pool has once moves in progress and planned ones end."""
-    present = sum(
-        host.pool == pool and host.phase in (HostPhase.UP, HostPhase.MOVING)
+    The hosts are walked once for all pools.
+    """
+    counts = collections.Counter(
+        host.pool
         for host in hosts.values()
+        if host.phase in (HostPhase.UP, HostPhase.MOVING)
     )
-    coming = sum(plan.pool == pool for plan in plans.values())
-    leaving = sum(
-        bool(plan.pool) and plan.host in hosts and hosts[plan.host].pool == pool
-        for plan in plans.values()
-    )
-    return present + coming - leaving
+    for plan in plans.values():
+        if plan.pool:
+            counts[plan.pool] += 1
+            if plan.host in hosts:
+                counts[hosts[plan.host].pool] -= 1
+    return counts
 
 
 class PoolScaler:
@@ -166,11 +165,11 @@
         if not cores or self.floor is None:
             return {}
         host_cores = sorted(cores)[len(cores) // 2]
-        gaps = {}
+        gaps, counts = {}, count_hosts(hosts, plans)
         for pool in pools:
             lag = lag_of(pool)
             wanted = hosts_wanted(states_of(pool), lag, now, host_cores, self.floor)
-            gap = wanted - count_hosts(hosts, plans, pool)
+            gap = wanted - counts[pool]
             gaps[pool] = gap if lag < MAX_LAG_SECONDS else max(0, gap)
         return gaps
 
@@ -200,16 +199,12 @@
         reserve = [
             h for h in hosts.values() if h.pool in standby and _is_movable(h, plans)
         ]
-        spare = []
-        for pool, gap in gaps.items():
-            idle = [
-                host
-                for host in hosts.values()
-                if host.pool == pool
-                and _is_movable(host, plans)
-                and not placed.get(host.worker)
-            ]
-            spare += [(pool, host) for host in idle[: max(0, -gap)]]
+        idle = collections.defaultdict(list)
+        for host in hosts.values():
+            surplus = max(0, -gaps.get(host.pool, 0))
+            if len(idle[host.pool]) < surplus and _is_idle(host, plans, placed):
+                idle[host.pool].append(host)
+        spare = [(pool, host) for pool in gaps for host in idle[pool]]
         moves = []
         for pool in sorted(gaps, key=gaps.get, reverse=True):
             for _ in range(max(0, gaps[pool])):
@@ -229,3 +224,7 @@
 
 def _is_movable(host, plans):
     return host.phase is HostPhase.UP and host.name not in plans
+
+
+def _is_idle(host, plans, placed):
+    return _is_movable(host, plans) and not placed.get(host.worker)
--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -3,11 +3,13 @@
 import unittest.mock
 
 import anyio
+import msgspec
 import testtools
 
 from azurelanding import (
     evacuation,
     filler_throttle,
+    fleet_records,
     host_choice,
     job_placement,
     pool_sizes,
@@ -21,6 +23,7 @@
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import make_job, make_link, make_step
 from azurelanding.tests.test_job_placement import make_capacity
+from azurelanding.tests.test_pool_jobs import CountedDict
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
     ListedRun,
@@ -143,9 +146,26 @@
     def test_hosts_already_begun_are_not_planned_again(self):
         hosts = make_hosts({"a": 2})
         wave = WaveRequest(1, ("a0", "a1"), 30.0, 2)
-        progress = WaveProgress(1, ("a0",))
+        progress = WaveProgress(1, frozenset({"a0"}))
         self.assertEqual(["a1"], self.plan(wave, hosts, progress=progress))
 
+    def test_hosts_of_a_wave_are_not_each_compared_with_all_that_have_begun(self):
+        # With thousands of hosts the daemon stood still for most of a second.
+        class Name(str):
+            __hash__ = str.__hash__
+            comparisons = 0
+
+            def __eq__(self, other):
+                Name.comparisons += 1
+                return str.__eq__(self, other)
+
+        hosts = make_hosts({"a": 400})
+        wave = WaveRequest(1, tuple(Name(name) for name in hosts), 30.0, 2)
+        value = msgspec.json.encode({"wave": 1, "begun": list(hosts)[:200]})
+        _, _, progress = fleet_records.decode_record("wave/1", value)
+        self.assertEqual(2, len(self.plan(wave, hosts, progress=progress)))
+        self.assertLess(Name.comparisons, 8 * len(hosts))
+
 
 class PoolSizesTest(testtools.TestCase):
     """Choice of the hosts to move between pools."""
@@ -201,6 +221,31 @@
         moves = self.moves({"a": 1.0, "b": 20.0}, hosts)
         self.assertEqual(["b", "b"], [pool for _, pool in moves])
 
+    def test_new_fleet_controller_finds_the_same_minimum_while_hosts_are_on_standby(
+        self,
+    ):
+        def minimum(**pools):
+            return pool_sizes.min_hosts_per_pool(make_hosts(pools), {"a", "b"}, {"off"})
+
+        self.assertEqual(4, minimum(a=8, b=8, off=8))
+        self.assertEqual(4, minimum(a=4, b=4, off=16))
+        self.assertEqual(4, minimum(a=16, b=8, off=0))
+
+    def test_hosts_are_not_walked_for_each_pool(self):
+        class CountedHosts(dict):
+            walks = 0
+
+            def values(self):
+                CountedHosts.walks += 1
+                return super().values()
+
+        wanted_cores = {f"p{number}": 1.0 for number in range(40)}
+        wanted_cores["p0"] = 40.0
+        hosts = CountedHosts(make_hosts(dict.fromkeys(wanted_cores, 2)))
+        moves = self.moves(wanted_cores, hosts)
+        self.assertEqual({"p0"}, {pool for _, pool in moves})
+        self.assertLess(CountedHosts.walks, 6)
+
     def test_step_with_a_limit_per_worker_counts_its_workers(self):
         step = make_step(5, per_worker=2, long_running=True)
         states = [JobState(make_job(steps=(step,)))]
@@ -220,6 +265,23 @@
             self.assertEqual((0.0, 0), pool_sizes.wanted_cores(states, 99.0))
         self.assertEqual(0, len(listed))
 
+    def test_demand_is_estimated_without_a_walk_over_tasks(self):
+        job = make_job(steps=(make_step(9, need=Resources(2.0, 1, 0)),))
+        state, listed = JobState(job), []
+        for index in range(4):
+            state.set_task(TaskId(job.id, 0, 0, index), TaskState(1, {1: "w"}))
+
+        def list_tasks(job_id, *arguments):
+            listed.append(job_id)
+            return task_ids(job_id, *arguments)
+
+        self.patch(CountedDict, "visits", [])
+        state.tasks = CountedDict(state.tasks)
+        with unittest.mock.patch.object(job_placement, "task_ids", list_tasks):
+            self.assertEqual((18.0, 0), pool_sizes.wanted_cores([state], 1.0))
+            self.assertEqual(0, pool_sizes.long_running_cores([state]))
+        self.assertEqual(([], []), (listed, CountedDict.visits))
+
     def test_pool_read_with_too_much_lag_returns_no_hosts(self):
         hosts = make_hosts({"a": 3, "off": 1})
         self.assertEqual([], self.moves({"a": 1.0}, hosts, now=10.0, lag=2.5))
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -1,16 +1,18 @@
 """Tests of the store client and the callers' API over real sockets, on a stand-in."""
 
+import itertools
 import struct
 
 import anyio
 import msgspec
 import testtools
 
+from azurelanding.appender import Appender
 from azurelanding.http_client import HttpClient
 from azurelanding.http_server import HttpServer, send_reply
 from azurelanding.job_service import Acceptance, StateUnknownError
 from azurelanding.jobs import JobPhase
-from azurelanding.platform import callers
+from azurelanding.platform import callers, store
 from azurelanding.platform.main import CallerLimits, make_service_clients
 from azurelanding.platform.store import LOADS_AT_ONCE, StoreClient
 from azurelanding.platform.traffic import count_received
@@ -134,6 +136,38 @@
 
         serve(app, scenario)
 
+    def test_streams_that_are_read_at_once_over_a_thin_link_arrive(self):
+        # Each answer alone was short enough; together all of them timed out for ever.
+        model, producer, link_rate = StoreModel(), Producer("p", 1), 250_000.0
+        rows = [(f"job/{number}", b"x" * 7_000) for number in range(9)]
+        link, piece_size, found = anyio.Lock(), 8_192, []
+
+        async def app(scope, receive, send):
+            async def send_over_link(message):
+                body = message.get("body", b"")
+                for begin in range(0, len(body), piece_size):
+                    piece = body[begin : begin + piece_size]
+                    async with link:
+                        await anyio.sleep(len(piece) / link_rate)
+                    await send({**message, "body": piece, "more_body": True})
+                await send({**message, "body": b""} if body else message)
+
+            await model.app(scope, receive, send_over_link)
+
+        async def read(client, partition):
+            found.append(await client.read("jobs", partition, 0))
+            await client.close()
+
+        async def scenario(address):
+            async with anyio.create_task_group() as task_group:
+                for partition in range(8):
+                    model.partitions["keyed.jobs", partition].append(rows, producer, 1)
+                    client = StoreClient.from_config(StoreSettings(address), link_rate)
+                    task_group.start_soon(read, client, partition)
+
+        serve(app, scenario)
+        self.assertEqual([9] * 8, [len(batch.records) for batch in found])
+
     def test_pages_of_many_loads_take_turns(self):
         # More of them than the timeout of a page allows for all timed out.
         model, running, seen = StoreModel(), [], []
@@ -148,9 +182,15 @@
         async def scenario(address):
             site = Site("e", "a", "", "", "", StoreSettings(address))
             make_store = make_service_clients(site).make_store
+
+            async def load(partition):
+                client = make_store()
+                await client.newest("jobs", partition)
+                await client.close()
+
             async with anyio.create_task_group() as task_group:
                 for partition in range(3 * LOADS_AT_ONCE):
-                    task_group.start_soon(make_store().newest, "jobs", partition)
+                    task_group.start_soon(load, partition)
 
         serve(app, scenario)
         self.assertEqual(3 * LOADS_AT_ONCE, len(seen))
@@ -176,6 +216,76 @@
 
         serve(app, scenario)
 
+    def test_appends_that_wait_for_those_of_other_daemons_are_answered(self):
+        # All timed out, and the repeats waited behind what they had given up.
+        self.patch(store, "CALL_TIMEOUT_SECONDS", 0.3)
+        self.patch(store, "APPEND_QUEUE_SECONDS", 0.5)
+        model, partition, append_seconds, stored = StoreModel(), anyio.Lock(), 0.06, []
+
+        async def app(scope, receive, send):
+            if scope["method"] == "GET":
+                await model.app(scope, receive, send)
+                return
+            message = await receive()
+
+            async def received():
+                return message
+
+            async with partition:
+                await anyio.sleep(append_seconds)
+                await model.app(scope, received, send)
+
+        async def read_for_ever(client):
+            while True:
+                await client.read("jobs", 2, 0)
+                await anyio.sleep(0.1)
+
+        async def append_for_ever(address, number):
+            make_client = make_service_clients(
+                Site("e", "a", "", "", "", StoreSettings(address))
+            ).make_store
+            appender = Appender(
+                "jobs", 1, make_client(), Producer(f"daemon-{number}", 1)
+            )
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(appender.run)
+                task_group.start_soon(read_for_ever, make_client())
+                while True:
+                    stored.append(await appender.append((("key", b"value"),), 10.0))
+
+        async def scenario(address):
+            with anyio.move_on_after(3.0):
+                async with anyio.create_task_group() as task_group:
+                    for number in range(8):
+                        task_group.start_soon(append_for_ever, address, number)
+
+        serve(app, scenario)
+        self.assertGreater(len(stored), 3.0 / append_seconds / 2)
+
+    def test_append_that_a_silent_store_has_lost_is_repeated_soon(self):
+        # The longer the store was silent, the later it got the jobs and the starts.
+        self.patch(store, "CALL_TIMEOUT_SECONDS", 0.1)
+        self.patch(store, "APPEND_QUEUE_SECONDS", 1.0)
+        model, appends = StoreModel(), []
+
+        async def app(scope, receive, send):
+            appends.append(anyio.current_time())
+            if len(appends) < 8:
+                await anyio.sleep(1.5)
+            await model.app(scope, receive, send)
+
+        async def scenario(address):
+            client = StoreClient.from_config(StoreSettings(address))
+            appender = Appender("jobs", 1, client, Producer("d", 1))
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(appender.run)
+                await appender.append((("key", b"value"),), 8.0)
+                task_group.cancel_scope.cancel()
+
+        serve(app, scenario)
+        delays = [later - at for at, later in itertools.pairwise(appends)]
+        self.assertLess(max(delays), 1.0)
+
     def test_record_longer_than_the_limit_of_a_read_is_read(self):
         # A follower on a thin link would never get past it.
         async def app(scope, receive, send):
--- a/azurelanding/tests/test_platform_wire.py
+++ b/azurelanding/tests/test_platform_wire.py
@@ -81,6 +81,7 @@
         self.assertEqual(2 << 20, entry.resources.memory)
         self.assertEqual(WorkerPhase.READY, entry.phase)
         self.assertEqual("m-1", entry.host)
+        self.assertEqual(("a", "r1-3"), entry.labels)
 
     def test_invalid_entry_is_ignored(self):
         invalid = [
@@ -91,6 +92,14 @@
             encode(ENTRY, capacity=None),
             encode(ENTRY, capacity={"cpu": "many"}),
             encode({"service": "cuts"}),
+            encode(ENTRY, address=17),
+            encode(ENTRY, address="nowhere"),
+            encode(ENTRY, service=["cuts"]),
+            encode(ENTRY, zone=None),
+            encode(ENTRY, machine=5),
+            encode(ENTRY, born="soon"),
+            encode(ENTRY, labels="r1-3"),
+            encode(ENTRY, labels=[1]),
         ]
         for value in invalid:
             self.assertIsNone(workers.decode_worker_entry("i-1", value), value)
@@ -108,6 +117,12 @@
         self.assertEqual(TaskId("0123456789abcdef", 0, 1, 7), run.task)
         self.assertEqual((0.4, 1200), (run.work_share, run.measurement))
         self.assertEqual((58, RunEnd.DONE, "cp"), (end.number, end.end, end.checkpoint))
+        self.assertTrue(report.has_all_ends)
+
+    def test_report_with_as_many_ends_as_fit_may_not_have_all(self):
+        ends = [[n, f"0123456789abcdef.0.1.{n}", 1, "done", ""] for n in range(500)]
+        content = msgspec.json.encode({"clockMs": 5000, "finished": ends})
+        self.assertFalse(workers.decode_report(content).has_all_ends)
 
 
 class HostsTest(testtools.TestCase):
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -1,6 +1,8 @@
 """Test a link to a worker over real connections whose answers come late."""
 
 import socket
+import threading
+import time
 
 import anyio
 import msgspec
@@ -39,6 +41,17 @@
         await send_reply(send, 200, (), msgspec.json.encode(answer))
 
 
+def answer_once(listener, arrived, may_answer):
+    """Answer one request from a thread, as another host would, once it may."""
+    connection, _ = listener.accept()
+    with connection:
+        connection.recv(1 << 16)
+        arrived.set()
+        may_answer.wait()
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        connection.recv(1 << 16)
+
+
 def make_entry(address):
     """Return the entry of a worker at ``address``."""
     return WorkerEntry(
@@ -120,3 +133,59 @@
             other.connect(listener.getsockname())
             address = "{}:{}".format(*listener.getsockname())
             self.assertGreater(anyio.run(stop, address), 1.0)
+
+
+class RestartTest(testtools.TestCase):
+    """A worker that starts again between two calls, at its address and under its id."""
+
+    def test_no_ends_of_a_later_incarnation_are_dropped_unread(self):
+        # Tasks that had ended there were started again.
+        dropped_up_to = []
+
+        async def serve(scope, receive, send):
+            values = msgspec.json.decode(await read_body(receive, 1 << 20))
+            dropped_up_to.append(values["lastSeen"])
+            await send_reply(send, 200, (), b'{"clockMs": 1}')
+
+        async def main():
+            server = HttpServer.from_config("127.0.0.1:0", serve)
+            entry = make_entry(server.address)
+            client = WorkerClient.from_config(entry, 1, LEASE_SECONDS, lambda: None)
+            async with anyio.create_task_group() as task_group:
+                server.start(task_group)
+                for last_seen in (0, 57):
+                    await client.hold(last_seen)
+                await server.close()
+                server = HttpServer.from_config(entry.address, serve)
+                server.start(task_group)
+                for _ in range(2):
+                    await client.hold(57)
+                await client.close()
+                await server.close()
+
+        anyio.run(main)
+        self.assertEqual([0, 57, 0, 57], dropped_up_to)
+
+    def test_order_that_is_answered_while_the_daemon_is_busy_is_answered(self):
+        async def stop():
+            arrived, may_answer = threading.Event(), threading.Event()
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                address = "{}:{}".format(*listener.getsockname())
+                worker = threading.Thread(
+                    target=answer_once, args=(listener, arrived, may_answer)
+                )
+                worker.start()
+                client = WorkerClient.from_config(
+                    make_entry(address), 1, LEASE_SECONDS, lambda: None
+                )
+                async with anyio.create_task_group() as task_group:
+                    task_group.start_soon(client.stop, TASK, 1)
+                    while not arrived.is_set():  # noqa: ASYNC110
+                        await anyio.sleep(0.001)
+                    # As a long pass does, this holds up the event loop.
+                    may_answer.set()
+                    time.sleep(1.5 * client.order_timeout.seconds)  # noqa: ASYNC251
+                await client.close()
+                worker.join()
+
+        anyio.run(stop)
