Split the hold calls and the reports from the link to a worker

Its state stays; the calls that extend the lease and what a report changes go into functions of worker_holds, which take the link, as the orders did into worker_orders.

--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from azurelanding import worker_orders
+from azurelanding import worker_holds, worker_orders
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
@@ -120,8 +120,8 @@
     async def _serve(self, link, scope):
         with scope:
             async with anyio.create_task_group() as task_group:
-                for follow in link.followers():
-                    task_group.start_soon(follow)
+                task_group.start_soon(worker_holds.follow, link)
+                task_group.start_soon(worker_holds.follow_while_overdue, link)
                 for client in link.order_clients:
                     task_group.start_soon(worker_orders.send_orders, link, client)
         with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_SECONDS):
--- a/azurelanding/tests/test_link_watch.py
+++ b/azurelanding/tests/test_link_watch.py
@@ -4,7 +4,13 @@
 import anyio.abc
 import testtools
 
-from azurelanding import link_watch, loop_watch, pool_stops, worker_link, worker_orders
+from azurelanding import (
+    link_watch,
+    loop_watch,
+    pool_stops,
+    worker_holds,
+    worker_orders,
+)
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.jobs import TaskId
 from azurelanding.link_watch import LinkWatch
@@ -64,7 +70,7 @@
         super().setUp()
         self.metrics = ServedMetrics()
         self.watch = LinkWatch("cuts", self.metrics)
-        self.lines = capture_lines(self, worker_link)
+        self.lines = capture_lines(self, worker_holds)
 
     def hold(self, timed_out, leaving=False):
         """Return a link after an unanswered ``hold`` call."""
@@ -74,7 +80,7 @@
             is_leaving=lambda worker_id: leaving,
             watch=self.watch,
         )
-        anyio.run(link._hold, client, 0.0)
+        anyio.run(worker_holds.hold, link, client, 0.0)
         return link
 
     def test_unanswered_calls_are_counted_by_call_and_kind(self):
@@ -87,7 +93,7 @@
 
     def test_silent_worker_is_logged_with_what_is_known_of_it(self):
         link = self.hold(timed_out=True, leaving=True)
-        anyio.run(link._hold, link.hold_client, 0.0)
+        anyio.run(worker_holds.hold, link, link.hold_client, 0.0)
         (line,) = self.lines
         self.assertEqual("worker does not answer", line["event"])
         self.assertEqual((True, 1), (line["leaving"], line["unanswered"]))
@@ -97,7 +103,9 @@
         link = self.hold(timed_out=True)
         link.silent_since -= 3.0
         for _ in range(2):
-            link._apply_report(WorkerReport(1.0, link.born, (), ()), boot_time())
+            worker_holds.apply_report(
+                link, WorkerReport(1.0, link.born, (), ()), boot_time()
+            )
         (_, line) = self.lines
         self.assertEqual("worker answers again", line["event"])
         self.assertEqual(3, round(line["silent"]))
--- a/azurelanding/tests/test_platform_workers.py
+++ b/azurelanding/tests/test_platform_workers.py
@@ -8,7 +8,7 @@
 import msgspec
 import testtools
 
-from azurelanding import worker_orders
+from azurelanding import worker_holds, worker_orders
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
 from azurelanding.http_server import HttpServer, read_body, send_reply
 from azurelanding.jobs import TaskId
@@ -93,8 +93,8 @@
 
     def test_late_answers_are_read_and_the_lease_is_extended(self):
         async def follow(link, task_group):
-            for follow in link.followers():
-                task_group.start_soon(follow)
+            task_group.start_soon(worker_holds.follow, link)
+            task_group.start_soon(worker_holds.follow_while_overdue, link)
             await anyio.sleep(LEASE_SECONDS)
 
         link = anyio.run(self.run_link, follow)
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from testtools.matchers import LessThan
 
-from azurelanding import job_ends, job_placement
+from azurelanding import job_ends, job_placement, worker_holds
 from azurelanding.configuration import Configuration
 from azurelanding.job_draft import JobDraft
 from azurelanding.jobs import JobOutcome, TaskId, TaskState, task_ids
@@ -228,7 +228,9 @@
         runs = [
             ListedRun(*run, "", 0.5, 0.0) for run in controller.ledger.placed[worker]
         ]
-        link._apply_report(WorkerReport(1.0, 1, tuple(runs), ()), boot_time())
+        worker_holds.apply_report(
+            link, WorkerReport(1.0, 1, tuple(runs), ()), boot_time()
+        )
     return controller
 
 
--- a/azurelanding/tests/test_worker_link.py
+++ b/azurelanding/tests/test_worker_link.py
@@ -3,7 +3,7 @@
 import anyio
 import testtools
 
-from azurelanding import worker_orders
+from azurelanding import worker_holds, worker_orders
 from azurelanding.jobs import RunEnd, TaskId
 from azurelanding.standins.platform_worker import WorkerFleet, WorkerModel
 from azurelanding.tests.platform_world import make_link, until
@@ -157,11 +157,11 @@
         # The list is of the earlier incarnation, a late start of the later one.
         client = ScriptedClient(unanswered())
         link = self.start(client, is_listed=True)
-        link._apply_report(WorkerReport(1.0, 2, (), ()), boot_time())
+        worker_holds.apply_report(link, WorkerReport(1.0, 2, (), ()), boot_time())
         self.assertEqual([], link.lost_runs)
         self.assertEqual(StopOrder(*KEY), link.orders.popleft())
         anyio.run(worker_orders.stop, link, client, *KEY)
-        link._apply_report(WorkerReport(2.0, 2, (), ()), boot_time())
+        worker_holds.apply_report(link, WorkerReport(2.0, 2, (), ()), boot_time())
         self.assertEqual([KEY], link.lost_runs)
 
     def test_refusal_as_fenced_marks_the_link_fenced(self):
@@ -278,7 +278,9 @@
         link = self.make_link(None)
         link.unanswered_starts.add(KEY)
         end = ListedEnd(1, *KEY, RunEnd.DONE, "")
-        link._apply_report(WorkerReport(2.0, link.born, (), (end,)), boot_time())
+        worker_holds.apply_report(
+            link, WorkerReport(2.0, link.born, (), (end,)), boot_time()
+        )
         self.assertIsNotNone(link.lease_end())
 
 
@@ -292,7 +294,9 @@
     def report(self, clock, born, *numbers):
         """Apply a report with ends of the task under the given numbers."""
         ends = tuple(ListedEnd(n, TASK, n, RunEnd.DONE, "") for n in numbers)
-        self.link._apply_report(WorkerReport(clock, born, (), ends), boot_time())
+        worker_holds.apply_report(
+            self.link, WorkerReport(clock, born, (), ends), boot_time()
+        )
 
     def test_ends_recorded_after_a_restart_acknowledge_none_of_the_later_ones(self):
         # The end of a run was dropped unread, so that its task ran twice.
@@ -316,7 +320,7 @@
             )
             self.link.acknowledge(57, 1)
             async with anyio.create_task_group() as task_group:
-                task_group.start_soon(self.link.follow)
+                task_group.start_soon(worker_holds.follow, self.link)
                 await until(lambda: self.link.report_count)
                 model.knobs.silent = True
                 await until(lambda: self.link.last_hold_failed)
@@ -363,8 +367,8 @@
             link = make_link(make_client=lambda entry: next(clients))
             with anyio.move_on_after(seconds):
                 async with anyio.create_task_group() as task_group:
-                    for follow in link.followers():
-                        task_group.start_soon(follow)
+                    task_group.start_soon(worker_holds.follow, link)
+                    task_group.start_soon(worker_holds.follow_while_overdue, link)
             return link
 
         return anyio.run(main)
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -1,15 +1,13 @@
-"""Link a pool's controller to one worker: extend its lease and read its reports.
+"""Hold the state of one worker as the controller of its pool knows it.
 
-The calls to a worker use a few connections, each with a task of its own. One repeats
-the ``hold`` call, a long poll that extends the lease and returns a report when a run
-ends. While its answer is overdue, a second one makes the calls, and whichever answer
-comes first is used. The others send orders, see ``worker_orders``.
+The calls to a worker use a few connections, each with a task of its own: those of
+``worker_holds`` extend its lease and read its reports, those of ``worker_orders`` send
+orders.
 """
 
 import contextlib
 from collections.abc import Callable
 
-import anyio
 import attrs
 import structlog
 
@@ -17,16 +15,13 @@
 from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
 from azurelanding.order_queue import OrderQueue
-from azurelanding.run_progress import RunProgress
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import (
     Refusal,
     StartOrder,
     StopOrder,
-    WorkerEndedError,
     WorkerError,
     WorkerNoResponseError,
-    WorkerRefusedError,
 )
 
 logger = structlog.get_logger()
@@ -87,7 +82,7 @@
 
 
 class WorkerLink:
-    """One worker's state as a pool's controller knows it, and the tasks that call it.
+    """One worker's state as a pool's controller knows it.
 
     - ``runs`` maps each run that may be on the worker to the ``boot_time`` from which
       a report that doesn't list it shows that it is lost; ``None`` while its start is
@@ -219,10 +214,6 @@
             )
             self.leased_until = max(self.leased_until, end)
 
-    def followers(self):
-        """Return the functions that follow the worker, one for each connection."""
-        return [self.follow, self.follow_while_overdue]
-
     def report_age(self, now):
         """Return the seconds since the last report at ``now``, or ``None``."""
         return None if self.last_report_at is None else now - self.last_report_at
@@ -241,95 +232,6 @@
             raise
         self.unanswered_calls = 0
 
-    async def follow(self):
-        """Extend the lease and read the reports until the worker has ended."""
-        while not (self.has_ended or self.is_fenced):
-            wait = self._next_wait()
-            self.overdue_at = boot_time() + wait + self.overdue_delay.seconds
-            await self._hold(self.hold_client, wait)
-            self.overdue_at = None
-            await self._until_ends_recorded()
-        self.controller.notify()
-
-    async def follow_while_overdue(self):
-        """Make the calls while the answer on the first connection is overdue."""
-        while not (self.has_ended or self.is_fenced):
-            now, overdue_at = boot_time(), self.overdue_at
-            if overdue_at is None or now < overdue_at:
-                seconds = self.overdue_delay.seconds
-                await anyio.sleep(seconds if overdue_at is None else overdue_at - now)
-                continue
-            if self.last_report_at is None or self.last_report_at < overdue_at:
-                self._record_no_response("the answer to hold is overdue")
-            await self._hold(self.backup_client, self._next_wait())
-            await self._until_ends_recorded()
-        self.controller.notify()
-
-    async def _until_ends_recorded(self):
-        """Wait for new ends to be recorded, as the next call would return them again.
-
-        The wait is bounded, because the next call also extends the lease.
-        """
-        if self.ends:
-            with anyio.move_on_after(HOLD_WAIT_SECONDS):
-                await self.ends_recorded.wait_until(lambda: not self.ends)
-
-    def _next_wait(self):
-        """Return how long the next ``hold`` call may wait at the worker, in seconds."""
-        is_quick = self.clock is None or self.last_hold_failed or self.ends
-        return 0.0 if is_quick else HOLD_WAIT_SECONDS
-
-    async def _hold(self, client, wait):
-        """Make one ``hold`` call and apply its report or its error."""
-        self.extend_leased_until()
-        sent_at = boot_time()
-        try:
-            last_seen = 0 if self.may_have_restarted else self.acknowledged
-            with self.watched("hold", wait):
-                report = await client.hold(last_seen, self.lease_end(), wait)
-        except WorkerNoResponseError as error:
-            self.may_have_restarted = True
-            if self.last_report_at is None or self.last_report_at < sent_at:
-                self._record_no_response(str(error))
-            self.overdue_delay.record_no_answer(self.overdue_delay.seconds)
-            await anyio.sleep(RETRY_DELAY_SECONDS)
-        except WorkerEndedError as error:
-            self.mark_ended(str(error))
-        except WorkerRefusedError as error:
-            self.handle_refusal(error)
-            await anyio.sleep(RETRY_DELAY_SECONDS)
-        else:
-            delay = boot_time() - sent_at - wait
-            if delay >= 0.0:
-                self.overdue_delay.record_answer(delay)
-            if not self._is_outdated(report, sent_at):
-                self._apply_report(report, sent_at)
-
-    def _is_outdated(self, report, sent_at):
-        """Return whether a report was overtaken by one on the other connection.
-
-        The start of a later incarnation may seem earlier, as a host's clock may jump.
-        """
-        if self.clock is None:
-            return False
-        if report.born != self.born:
-            return sent_at < self.last_report_at
-        return report.clock < self.clock[0]
-
-    def _record_no_response(self, reason):
-        if not self.last_hold_failed:
-            now = boot_time()
-            self.silent_since = self.last_report_at or now
-            logger.info(
-                "worker does not answer",
-                worker=self.entry.id,
-                reason=reason,
-                leaving=self.controller.is_leaving(self.entry.id),
-                unanswered=self.unanswered_calls,
-                report_age=round_seconds(self.report_age(now)),
-            )
-        self.last_hold_failed = self.may_have_restarted = True
-
     def mark_ended(self, reason):
         """Record that the worker's incarnation has ended."""
         logger.info("worker ended", worker=self.entry.id, reason=reason)
@@ -362,72 +264,12 @@
         self.is_fenced = True
         self.controller.end_control()
 
-    def _apply_report(self, report, sent_at):
-        """Apply a report that was requested at ``sent_at``."""
-        if report.born != self.born:
-            if self.born:
-                logger.info("worker restarted", worker=self.entry.id, born=report.born)
-            self.born, self.acknowledged, self.ends = report.born, 0, {}
-        if self.last_hold_failed:
-            silent = round_seconds(boot_time() - self.silent_since)
-            logger.info("worker answers again", worker=self.entry.id, silent=silent)
-        self.controller.permission.record_report(self.entry.id)
-        self.clock = (report.clock, boot_time())
-        self.last_report_at = boot_time()
-        self.last_hold_failed = self.may_have_restarted = False
-        self.report_count += 1
-        self.listed_runs = {(run.task, run.run): run for run in report.runs}
-        self._update_progress()
-        known = self.listed_runs.keys() | self.runs.keys()
-        self.stops = {key: at for key, at in self.stops.items() if key in known}
-        new_ends = [end for end in report.ends if end.number > self.acknowledged]
-        ended = {(end.task, end.run) for end in new_ends}
-        for key in ended:
-            self.record_no_later_start(*key)
-        self.ends.update((end.number, end) for end in new_ends)
-        for key, counted_from in list(self.runs.items()):
-            if counted_from is None or counted_from >= sent_at:
-                continue
-            if key in self.listed_runs:
-                self.unanswered_starts.discard(key)
-            elif key not in ended and report.has_all_ends:
-                self._record_unlisted(key)
-        had_answered, self.has_answered = self.has_answered, True
-        if new_ends or self.lost_runs or not had_answered:
-            self.controller.notify()
-
-    def _record_unlisted(self, key):
-        """Record a run as lost, once the worker can't start it any more.
-
-        A worker that restarted since it listed the run may still carry out a start.
-        """
-        if key not in self.unanswered_starts:
-            self.lost_runs.append(key)
-        elif key not in self.stops:
-            self.stops[key] = boot_time()
-            self.stop_before_others(*key)
-
     def record_no_later_start(self, task, run):
         """Record that the worker will not start ``run`` of a task or an earlier one."""
         self.unanswered_starts = {
             key for key in self.unanswered_starts if key[0] != task or key[1] > run
         }
 
-    def _update_progress(self):
-        """Update each run's progress, and since when it works without a break."""
-        since, now = self.working_since, boot_time()
-        for key in self.progress.keys() - self.listed_runs.keys():
-            del self.progress[key]
-        for key, run in self.listed_runs.items():
-            if key not in self.progress:
-                self.progress[key] = RunProgress.begin(run.work_share, now)
-            self.progress[key].update(run.work_share, now)
-        self.working_since = {
-            key: since.get(key, now)
-            for key, run in self.listed_runs.items()
-            if run.work_share >= 1.0
-        }
-
     def acknowledge(self, number, born):
         """Let the worker drop the ends up to ``number``, which are recorded.
 
