--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -37,6 +37,7 @@
     ``anyio.fail_after`` would drop the answer. Here the time is extended once by as
     much as the loop is late, and by ``seconds`` at most.
     """
+    # anyio has no timer that calls a function.
     loop = asyncio.get_running_loop()
     due_at = loop.time() + seconds
     with anyio.CancelScope() as scope:
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -43,7 +43,7 @@
 """Longest answer to a read, which is the store's default."""
 MIN_READ_KILOBYTES = 64
 READ_SECONDS = 0.2
-"""Time in which the answer to a read crosses the host's link, if it is alone on it."""
+"""Time in which the answer to a read crosses the host's link while no other does."""
 NEWEST_PAGE_BYTES = 1_400_000
 """Longest page of newest records: 1 MB of values in base64."""
 LOADS_AT_ONCE = 4
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -1,8 +1,9 @@
 """Control one pool: read how runs ended, place tasks, store the decision, send orders.
 
 A decision is stored before any order is sent to a worker, so a controller that takes
-over knows every run that may be in progress and on which worker. The store and the
-workers refuse requests with an earlier epoch, so a superseded controller can't act.
+over knows every run that may be in progress and on which worker. The store refuses
+requests with an earlier epoch, and so does each worker that its successor has called;
+``lease_permission`` limits what a superseded controller does to the others.
 """
 
 import time
