--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -1,28 +1,27 @@
-"""Link a pool's controller to one worker: extend its lease and read its reports.
+"""Hold the state of one worker as the controller of its pool knows it.
 
-The calls to a worker use a few connections, each with a task of its own. One repeats
-the ``hold`` call, a long poll that extends the lease and returns a report when a run
-ends. While its answer is overdue, a second one makes the calls, and whichever answer
-comes first is used. The others send orders, see ``worker_orders``.
+The calls to a worker use a few connections, each with a task of its own: those of
+``worker_holds`` extend its lease and read its reports, those of ``worker_orders`` send
+orders.
 """
 
 import contextlib
+from collections.abc import Callable
 
-import anyio
+import attrs
 import structlog
 
 from azurelanding.answer_timeout import AnswerTimeout
+from azurelanding.lease_permission import LeasePermission
+from azurelanding.link_watch import LinkWatch
 from azurelanding.order_queue import OrderQueue
-from azurelanding.run_progress import RunProgress
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import (
     Refusal,
     StartOrder,
     StopOrder,
-    WorkerEndedError,
     WorkerError,
     WorkerNoResponseError,
-    WorkerRefusedError,
 )
 
 logger = structlog.get_logger()
@@ -57,8 +56,33 @@
     return None if seconds is None else round(seconds, 3)
 
 
+@attrs.frozen
+class LinkController:
+    """What the links of a pool use of its controller.
+
+    ``make_client(entry)`` returns a client of a worker, and ``lease`` is in seconds.
+    ``notify()`` is called when a link has ends, losses or refusals to process, and
+    ``end_control()`` when a worker refuses the epoch as superseded.
+    ``is_startable(task_id)`` returns whether a placed task may still start, and
+    ``is_leaving(worker_id)`` whether a worker is known to be going away.
+    ``charge_repeat(order)`` charges the budget for an unanswered start that is to be
+    sent again, and returns the seconds to wait before. ``watch`` is the ``LinkWatch``
+    of the pool and ``permission`` the ``LeasePermission`` of its controller.
+    """
+
+    make_client: Callable
+    lease: float
+    notify: Callable
+    end_control: Callable
+    is_startable: Callable
+    charge_repeat: Callable
+    is_leaving: Callable
+    watch: LinkWatch
+    permission: LeasePermission
+
+
 class WorkerLink:
-    """One worker's state as a pool's controller knows it, and the tasks that call it.
+    """One worker's state as a pool's controller knows it.
 
     - ``runs`` maps each run that may be on the worker to the ``boot_time`` from which
       a report that doesn't list it shows that it is lost; ``None`` while its start is
@@ -95,42 +119,17 @@
       with an answer, and ``silent_since`` the ``boot_time`` of the last report before
       the worker stopped answering.
 
-    ``make_client(entry)`` returns a client of the worker, ``lease`` is in seconds,
-    ``notify`` is called when there are ends, losses or refusals to process,
-    ``end_control`` when the worker refuses the epoch as superseded,
-    ``is_startable(task_id)`` returns whether a placed task may still start,
-    ``count_repeat(order)`` is called before an unanswered start is sent again and
-    returns the seconds to wait before,
-    ``is_leaving(worker_id)`` returns whether a worker is known to be going away,
-    ``watch`` is the ``LinkWatch`` of the pool and ``permission`` the
-    ``LeasePermission`` of its controller.
+    ``controller`` is the ``LinkController`` of the pool's controller.
     """
 
-    def __init__(
-        self,
-        entry,
-        make_client,
-        lease,
-        notify,
-        end_control,
-        is_startable,
-        count_repeat,
-        is_leaving,
-        watch,
-        permission,
-    ):
+    def __init__(self, entry, controller):
         self.entry = entry
-        self.hold_client = make_client(entry)
-        self.backup_client = make_client(entry)
-        self.order_clients = [make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)]
-        self.lease = lease
-        self.notify = notify
-        self.end_control = end_control
-        self.is_startable = is_startable
-        self.count_repeat = count_repeat
-        self.is_leaving = is_leaving
-        self.watch = watch
-        self.permission = permission
+        self.controller = controller
+        self.hold_client = controller.make_client(entry)
+        self.backup_client = controller.make_client(entry)
+        self.order_clients = [
+            controller.make_client(entry) for _ in range(ORDER_CONNECTION_COUNT)
+        ]
         self.runs = {}
         self.unanswered_starts = set()
         self.start_times = {}
@@ -144,7 +143,7 @@
         self.lost_runs = []
         self.stops = {}
         self.paces = {}
-        self.orders = OrderQueue(watch.observe_order_wait)
+        self.orders = OrderQueue(controller.watch.observe_order_wait)
         self.order_added = Notifier()
         self.ends_recorded = Notifier()
         self.has_answered = False
@@ -154,14 +153,14 @@
         self.may_have_restarted = False
         self.overdue_at = None
         self.overdue_delay = AnswerTimeout(
-            SHORTEST_OVERDUE_SECONDS, lease / OVERDUE_CALLS_PER_LEASE
+            SHORTEST_OVERDUE_SECONDS, controller.lease / OVERDUE_CALLS_PER_LEASE
         )
         self.unanswered_calls = 0
         self.silent_since = None
         self.late_start_logged_at = None
         self.last_report_at = None
         self.clock = None
-        longest = lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
+        longest = controller.lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
         self.leased_until = boot_time() + longest
         self.signs_of_end = ()
         self.end_seen_at = None
@@ -198,25 +197,23 @@
         if not self._may_extend_lease():
             return None
         worker_time, read_at = self.clock
-        return worker_time + (boot_time() - read_at) + self.lease
+        return worker_time + (boot_time() - read_at) + self.controller.lease
 
     def _may_extend_lease(self):
         is_reachable = self.clock is not None and not self.last_hold_failed
         is_settled = self.unanswered_starts <= self.runs.keys()
-        return is_reachable and is_settled and self.permission.is_given()
+        return is_reachable and is_settled and self.controller.permission.is_given()
 
     def extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
         if self._may_extend_lease():
             end = (
-                boot_time() + self.lease * (1 + CLOCK_DRIFT_SHARE) + LEASE_SLACK_SECONDS
+                boot_time()
+                + self.controller.lease * (1 + CLOCK_DRIFT_SHARE)
+                + LEASE_SLACK_SECONDS
             )
             self.leased_until = max(self.leased_until, end)
 
-    def followers(self):
-        """Return the functions that follow the worker, one for each connection."""
-        return [self.follow, self.follow_while_overdue]
-
     def report_age(self, now):
         """Return the seconds since the last report at ``now``, or ``None``."""
         return None if self.last_report_at is None else now - self.last_report_at
@@ -225,7 +222,7 @@
     def watched(self, name, wait=0.0):
         """Measure a call and count the unanswered ones in a row."""
         try:
-            with self.watch.call(name, wait):
+            with self.controller.watch.call(name, wait):
                 yield
         except WorkerNoResponseError:
             self.unanswered_calls += 1
@@ -235,100 +232,11 @@
             raise
         self.unanswered_calls = 0
 
-    async def follow(self):
-        """Extend the lease and read the reports until the worker has ended."""
-        while not (self.has_ended or self.is_fenced):
-            wait = self._next_wait()
-            self.overdue_at = boot_time() + wait + self.overdue_delay.seconds
-            await self._hold(self.hold_client, wait)
-            self.overdue_at = None
-            await self._until_ends_recorded()
-        self.notify()
-
-    async def follow_while_overdue(self):
-        """Make the calls while the answer on the first connection is overdue."""
-        while not (self.has_ended or self.is_fenced):
-            now, overdue_at = boot_time(), self.overdue_at
-            if overdue_at is None or now < overdue_at:
-                seconds = self.overdue_delay.seconds
-                await anyio.sleep(seconds if overdue_at is None else overdue_at - now)
-                continue
-            if self.last_report_at is None or self.last_report_at < overdue_at:
-                self._record_no_response("the answer to hold is overdue")
-            await self._hold(self.backup_client, self._next_wait())
-            await self._until_ends_recorded()
-        self.notify()
-
-    async def _until_ends_recorded(self):
-        """Wait for new ends to be recorded, as the next call would return them again.
-
-        The wait is bounded, because the next call also extends the lease.
-        """
-        if self.ends:
-            with anyio.move_on_after(HOLD_WAIT_SECONDS):
-                await self.ends_recorded.wait_until(lambda: not self.ends)
-
-    def _next_wait(self):
-        """Return how long the next ``hold`` call may wait at the worker, in seconds."""
-        is_quick = self.clock is None or self.last_hold_failed or self.ends
-        return 0.0 if is_quick else HOLD_WAIT_SECONDS
-
-    async def _hold(self, client, wait):
-        """Make one ``hold`` call and apply its report or its error."""
-        self.extend_leased_until()
-        sent_at = boot_time()
-        try:
-            last_seen = 0 if self.may_have_restarted else self.acknowledged
-            with self.watched("hold", wait):
-                report = await client.hold(last_seen, self.lease_end(), wait)
-        except WorkerNoResponseError as error:
-            self.may_have_restarted = True
-            if self.last_report_at is None or self.last_report_at < sent_at:
-                self._record_no_response(str(error))
-            self.overdue_delay.record_no_answer(self.overdue_delay.seconds)
-            await anyio.sleep(RETRY_DELAY_SECONDS)
-        except WorkerEndedError as error:
-            self.mark_ended(str(error))
-        except WorkerRefusedError as error:
-            self.handle_refusal(error)
-            await anyio.sleep(RETRY_DELAY_SECONDS)
-        else:
-            delay = boot_time() - sent_at - wait
-            if delay >= 0.0:
-                self.overdue_delay.record_answer(delay)
-            if not self._is_outdated(report, sent_at):
-                self._apply_report(report, sent_at)
-
-    def _is_outdated(self, report, sent_at):
-        """Return whether a report was overtaken by one on the other connection.
-
-        The start of a later incarnation may seem earlier, as a host's clock may jump.
-        """
-        if self.clock is None:
-            return False
-        if report.born != self.born:
-            return sent_at < self.last_report_at
-        return report.clock < self.clock[0]
-
-    def _record_no_response(self, reason):
-        if not self.last_hold_failed:
-            now = boot_time()
-            self.silent_since = self.last_report_at or now
-            logger.info(
-                "worker does not answer",
-                worker=self.entry.id,
-                reason=reason,
-                leaving=self.is_leaving(self.entry.id),
-                unanswered=self.unanswered_calls,
-                report_age=round_seconds(self.report_age(now)),
-            )
-        self.last_hold_failed = self.may_have_restarted = True
-
     def mark_ended(self, reason):
         """Record that the worker's incarnation has ended."""
         logger.info("worker ended", worker=self.entry.id, reason=reason)
         self.has_ended = True
-        self.permission.record_ended(self.entry.id)
+        self.controller.permission.record_ended(self.entry.id)
 
     def has_fallen_silent(self, signs_of_end, now):
         """Return whether the worker has not reported since signs of its end are known.
@@ -354,52 +262,7 @@
         """Record that another controller has called the worker under a later epoch."""
         logger.warning("worker refused the epoch as superseded", worker=self.entry.id)
         self.is_fenced = True
-        self.end_control()
-
-    def _apply_report(self, report, sent_at):
-        """Apply a report that was requested at ``sent_at``."""
-        if report.born != self.born:
-            if self.born:
-                logger.info("worker restarted", worker=self.entry.id, born=report.born)
-            self.born, self.acknowledged, self.ends = report.born, 0, {}
-        if self.last_hold_failed:
-            silent = round_seconds(boot_time() - self.silent_since)
-            logger.info("worker answers again", worker=self.entry.id, silent=silent)
-        self.permission.record_report(self.entry.id)
-        self.clock = (report.clock, boot_time())
-        self.last_report_at = boot_time()
-        self.last_hold_failed = self.may_have_restarted = False
-        self.report_count += 1
-        self.listed_runs = {(run.task, run.run): run for run in report.runs}
-        self._update_progress()
-        known = self.listed_runs.keys() | self.runs.keys()
-        self.stops = {key: at for key, at in self.stops.items() if key in known}
-        new_ends = [end for end in report.ends if end.number > self.acknowledged]
-        ended = {(end.task, end.run) for end in new_ends}
-        for key in ended:
-            self.record_no_later_start(*key)
-        self.ends.update((end.number, end) for end in new_ends)
-        for key, counted_from in list(self.runs.items()):
-            if counted_from is None or counted_from >= sent_at:
-                continue
-            if key in self.listed_runs:
-                self.unanswered_starts.discard(key)
-            elif key not in ended and report.has_all_ends:
-                self._record_unlisted(key)
-        had_answered, self.has_answered = self.has_answered, True
-        if new_ends or self.lost_runs or not had_answered:
-            self.notify()
-
-    def _record_unlisted(self, key):
-        """Record a run as lost, once the worker can't start it any more.
-
-        A worker that restarted since it listed the run may still carry out a start.
-        """
-        if key not in self.unanswered_starts:
-            self.lost_runs.append(key)
-        elif key not in self.stops:
-            self.stops[key] = boot_time()
-            self.stop_before_others(*key)
+        self.controller.end_control()
 
     def record_no_later_start(self, task, run):
         """Record that the worker will not start ``run`` of a task or an earlier one."""
@@ -407,21 +270,6 @@
             key for key in self.unanswered_starts if key[0] != task or key[1] > run
         }
 
-    def _update_progress(self):
-        """Update each run's progress, and since when it works without a break."""
-        since, now = self.working_since, boot_time()
-        for key in self.progress.keys() - self.listed_runs.keys():
-            del self.progress[key]
-        for key, run in self.listed_runs.items():
-            if key not in self.progress:
-                self.progress[key] = RunProgress.begin(run.work_share, now)
-            self.progress[key].update(run.work_share, now)
-        self.working_since = {
-            key: since.get(key, now)
-            for key, run in self.listed_runs.items()
-            if run.work_share >= 1.0
-        }
-
     def acknowledge(self, number, born):
         """Let the worker drop the ends up to ``number``, which are recorded.
 
