--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -11,7 +11,7 @@
 import attrs
 import structlog
 
-from azurelanding import fleet_records, host_choice, pool_sizes
+from azurelanding import fleet_records, host_choice, pool_sizes, wave_orders
 from azurelanding.appender import Appender
 from azurelanding.fleet_records import WaveProgress
 from azurelanding.fleet_workers import HostPhase
@@ -267,24 +267,10 @@
             )
 
     async def _close_accepted_plans(self):
-        """Record which of the accepted orders for maintenance have ended a worker.
-
-        An order is also accepted if the maintenance was carried out before, as after an
-        order without an answer. It ends nothing then, and its plan is dropped.
-        """
-        now, closed = time.time(), []
-        for name, plan in self.accepted_plans.items():
-            host, pending = self.hosts.get(name), self.fold.pending().get(name)
-            if pending == plan:
-                is_ordered = _shows_maintenance(host, plan)
-                closed.append(
-                    attrs.evolve(
-                        plan,
-                        is_ordered=is_ordered,
-                        is_dropped=not is_ordered,
-                        closed_at=now,
-                    )
-                )
+        """Record which of the accepted orders for maintenance have ended a worker."""
+        closed = wave_orders.close_accepted(
+            self.accepted_plans, self.fold.pending(), self.hosts, time.time()
+        )
         await self._store([fleet_records.encode_record(plan) for plan in closed])
         self.accepted_plans = {}
 
@@ -371,20 +357,10 @@
 
     def _hosts_in_maintenance(self, wave):
         """Return the hosts of a wave that are, or may be, in maintenance."""
-        recent = boot_time() - (
-            self.daemon.site.timing.maintenance + POLL_INTERVAL_SECONDS
+        shown_after = self.daemon.site.timing.maintenance + POLL_INTERVAL_SECONDS
+        return wave_orders.hosts_in_maintenance(
+            wave, self.hosts, self.maintenance_ordered_at, boot_time() - shown_after
         )
-        in_maintenance = {
-            name
-            for name in wave.hosts
-            if name in self.hosts and self.hosts[name].phase is HostPhase.MAINTENANCE
-        }
-        in_maintenance |= {
-            host
-            for (host, number), at in self.maintenance_ordered_at.items()
-            if number == wave.number and at > recent
-        }
-        return in_maintenance
 
     async def _execute_plans(self, placed, epoch):
         """Send the orders that are due, then record them in one append."""
@@ -436,11 +412,8 @@
         now = time.time()
         moves = [plan for plan in plans if plan.wave is None]
         ordered = [attrs.evolve(p, is_ordered=True, closed_at=now) for p in moves]
-        records = [fleet_records.encode_record(plan) for plan in ordered]
-        for number in sorted({plan.wave for plan in plans if plan.wave is not None}):
-            begun = {plan.host for plan in plans if plan.wave == number}
-            progress = WaveProgress(number, self.fold.progress(number).begun | begun)
-            records.append(fleet_records.encode_record(progress))
+        progress = wave_orders.progress_after(plans, self.fold.progress)
+        records = [fleet_records.encode_record(r) for r in (*ordered, *progress)]
         await self._store(records)
         self.accepted_plans.update((p.host, p) for p in plans if p.wave is not None)
 
@@ -461,13 +434,3 @@
         done = WaveProgress(wave.number, progress.begun, True)
         await self._store([fleet_records.encode_record(done)])
         await self._report_wave(wave.number, True)
-
-
-def _shows_maintenance(host, plan):
-    """Return whether the ``HostEntry`` of a host shows that its order ended a worker.
-
-    A host that is down may have failed, with a worker that is cut off but still up.
-    """
-    if host is None or host.phase is HostPhase.DOWN:
-        return False
-    return host.worker != plan.worker or host.phase is HostPhase.MAINTENANCE
