--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -269,8 +269,9 @@
         """Free the runs that are certainly no longer in progress."""
         now, ended = boot_time(), self.daemon.fleet.ended()
         for worker_id, link in list(self.links.items()):
-            signs, is_open = self._signs_of_end(worker_id, ended), not link.has_ended
-            if is_open and any(signs) and link.has_fallen_silent(signs, now):
+            signs = self._signs_of_end(worker_id, ended)
+            may_have_ended = any(signs) and not link.has_ended
+            if may_have_ended and link.has_fallen_silent(signs, now):
                 link.mark_ended("its host was ordered or runs a later one")
             for (task, run), refusal in link.not_started:
                 self._record_refusal(draft, link, task, run, refusal)
@@ -285,9 +286,9 @@
         self._free_runs_of_missing(draft, now, ended)
 
     def _signs_of_end(self, worker_id, ended):
-        """Return whether an order to the host of a worker shows that it has ended.
+        """Return two signs that a worker has ended, each as a truth value.
 
-        Second, return whether a later incarnation of the host does.
+        They are an order to its host, and a later incarnation of the host.
         """
         is_later_known = self.daemon.registry.has_later_incarnation(worker_id)
         return worker_id in ended, is_later_known
