--- a/azurelanding/appender.py
+++ b/azurelanding/appender.py
@@ -65,7 +65,7 @@
     ``on_fenced()`` is called when a producer with a higher epoch has written;
     ``fenced`` then holds the error. While ``may_send()`` is false, appends that are not
     sent yet fail at once, as certainly not stored. ``succeeded_at`` is when the last
-    append succeeded.
+    append succeeded. ``in_flight`` is the batch that is being sent.
     """
 
     def __init__(
@@ -85,6 +85,7 @@
         self.may_send = may_send
         self.sequence = 1
         self.waiting = []
+        self.in_flight = []
         self.arrivals = Notifier()
         self.fenced = None
         self.succeeded_at = -1.0
@@ -126,14 +127,31 @@
         return batch
 
     async def run(self):
-        """Send pending appends until cancelled or fenced."""
+        """Send pending appends until cancelled or fenced.
+
+        It may be run again after an unexpected error. Whether the batch that was in
+        flight is stored isn't known then, so neither is which sequence number is next:
+        a higher epoch begins a new sequence.
+        """
+        if self.in_flight:
+            self._abandon_in_flight()
         while self.fenced is None:
             await self.arrivals.wait_until(lambda: bool(self.waiting))
             if self.may_send():
-                await self._send(self._next_batch())
+                self.in_flight = self._next_batch()
+                await self._send(self.in_flight)
+                self.in_flight = []
             else:
                 self._fail_waiting()
 
+    def _abandon_in_flight(self):
+        abandoned, self.in_flight = self.in_flight, []
+        for pending in abandoned:
+            if not pending.settled.is_set():
+                pending.settle(error=OutcomeUnknownError("the append was given up"))
+        self.producer = attrs.evolve(self.producer, epoch=self.producer.epoch + 1)
+        self.sequence = 1
+
     async def _send(self, batch):
         """Append one batch and settle its pending appends."""
         records = [record for pending in batch for record in pending.records]
--- a/azurelanding/control.py
+++ b/azurelanding/control.py
@@ -69,11 +69,14 @@
     async def start(self, task_group):
         """Start the daemon's tasks in ``task_group``."""
         await super().start(task_group)
-        task_group.start_soon(self.leases.run)
-        task_group.start_soon(self._assign_new_hosts)
-        task_group.start_soon(self.maintenance.run)
-        task_group.start_soon(self.placements.run)
-        task_group.start_soon(self.capacity.run)
+        for name, run in (
+            ("keep the leases", self.leases.run),
+            ("assign new hosts", self._assign_new_hosts),
+            ("maintain hosts", self.maintenance.run),
+            ("place tasks", self.placements.run),
+            ("move hosts", self.capacity.run),
+        ):
+            self.start_task(task_group, name, run)
 
     async def close(self):
         """Release the leases and close all other parts; may be called twice."""
--- a/azurelanding/daemon.py
+++ b/azurelanding/daemon.py
@@ -16,6 +16,7 @@
 from azurelanding.metrics import Metrics
 from azurelanding.operators import api
 from azurelanding.snapshot_keeper import SnapshotKeeper
+from azurelanding.supervision import keep_running
 
 logger = structlog.get_logger()
 
@@ -131,14 +132,21 @@
                 follower.put_in_force()
             await anyio.sleep(START_CHECK_INTERVAL_SECONDS)
 
+    def start_task(self, task_group, name, run):
+        """Start a long-running task that survives unexpected errors."""
+        task_group.start_soon(keep_running, name, run, self.metrics)
+
     async def start(self, task_group):
         """Start following the log, the host list and the peers, and serve operators."""
         await self.peer_server.start(task_group)
-        self.members.start(task_group)
-        task_group.start_soon(self.follower.run)
-        task_group.start_soon(self._start_without_log)
-        task_group.start_soon(self.snapshots.run)
-        task_group.start_soon(self.host_list.run)
+        self.members.start(task_group, self.metrics)
+        for name, run in (
+            ("read the fleet", self.follower.run),
+            ("start without the log", self._start_without_log),
+            ("write snapshots", self.snapshots.run),
+            ("read the host list", self.host_list.run),
+        ):
+            self.start_task(task_group, name, run)
         self.operators_server.start(task_group)
         logger.info(
             "daemon started",
--- a/azurelanding/entries/answers.py
+++ b/azurelanding/entries/answers.py
@@ -3,15 +3,17 @@
 import anyio
 import capnp
 
+from azurelanding.addresses import is_reachable, split_address
 from azurelanding.entries import wire
 from azurelanding.entries.members import PeerError
-from azurelanding.settings import split_address
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 REPLY_GRACE_SECONDS = 0.5
 
 
 async def _request_answer(address, claim_id, wait):
+    if not is_reachable(address):
+        raise PeerError(f"no peer can be at {address!r}")
     host, port = split_address(address)
     with anyio.fail_after(CONNECT_TIMEOUT_SECONDS):
         stream = await capnp.AsyncIoStream.create_connection(host, port)
--- a/azurelanding/entries/members.py
+++ b/azurelanding/entries/members.py
@@ -1,5 +1,6 @@
 """Exchange status with the peer daemons and catch up with their state."""
 
+import functools
 import math
 
 import anyio
@@ -8,9 +9,10 @@
 import structlog
 
 from azurelanding import pacing
+from azurelanding.addresses import split_address
 from azurelanding.entries import wire
 from azurelanding.log_service import snapshots
-from azurelanding.settings import split_address
+from azurelanding.supervision import keep_running
 from azurelanding.utils import Notifier
 
 logger = structlog.get_logger()
@@ -287,7 +289,9 @@
             self.tried.add(address)
             await anyio.sleep(self.settings.period)
 
-    def start(self, task_group):
+    def start(self, task_group, metrics):
         """Exchange status with each peer in its own task of ``task_group``."""
         for address in self.settings.fellows:
-            task_group.start_soon(self.follow, address)
+            follow = functools.partial(self.follow, address)
+            name = f"follow peer {address}"
+            task_group.start_soon(keep_running, name, follow, metrics)
--- a/azurelanding/entries/server.py
+++ b/azurelanding/entries/server.py
@@ -2,9 +2,9 @@
 
 import capnp
 
+from azurelanding.addresses import split_address
 from azurelanding.entries import wire
 from azurelanding.entries.members import MAX_RELAYED_RECORDS
-from azurelanding.settings import split_address
 
 MAX_ANSWER_WAIT_SECONDS = 600.0
 
--- a/azurelanding/entries/wire.py
+++ b/azurelanding/entries/wire.py
@@ -1,10 +1,12 @@
 """Encode the messages between peer daemons in Cap'n Proto."""
 
+import contextlib
 import pathlib
 
 import attrs
 import capnp
 
+from azurelanding.decoding import FAULTS
 from azurelanding.log_service.wire import Entry
 from azurelanding.requests import Answer, Outcome, RefusalReason
 
@@ -43,6 +45,15 @@
     releasing: tuple[str, ...] = ()
 
 
+@contextlib.contextmanager
+def _reading(kind):
+    """Raise what goes wrong while a message of ``kind`` is read as its error."""
+    try:
+        yield
+    except (capnp.KjException, *FAULTS) as error:
+        raise MessageFormatError(f"unreadable {kind}: {error}") from error
+
+
 def _fill_demands(messages, demands):
     for message, (pool, wanted) in zip(messages, demands.items(), strict=True):
         message.pool = pool
@@ -72,7 +83,7 @@
     Raises ``MessageFormatError`` when a text in it is not UTF-8 or a pointer is
     invalid.
     """
-    try:
+    with _reading("status"):
         return Status(
             message.name,
             message.incarnation,
@@ -88,8 +99,6 @@
             {demand.pool: demand.wanted for demand in message.wants},
             tuple(message.releasing),
         )
-    except (capnp.KjException, UnicodeDecodeError) as error:
-        raise MessageFormatError(f"unreadable status: {error}") from error
 
 
 def fill_entries(message, entries):
@@ -101,8 +110,12 @@
 
 
 def read_entries(message):
-    """Return the ``Entry``s in a Cap'n Proto ``message``."""
-    return [Entry(entry.offset, entry.data) for entry in message.entries]
+    """Return the ``Entry``s in a Cap'n Proto ``message``.
+
+    Raises ``MessageFormatError`` like ``read_status``.
+    """
+    with _reading("entries"):
+        return [Entry(entry.offset, entry.data) for entry in message.entries]
 
 
 @attrs.frozen
@@ -122,8 +135,12 @@
 
 
 def read_state_part(message):
-    """Return the ``StatePart`` in a Cap'n Proto ``message``."""
-    return StatePart(message.id, message.parts, message.data)
+    """Return the ``StatePart`` in a Cap'n Proto ``message``.
+
+    Raises ``MessageFormatError`` like ``read_status``.
+    """
+    with _reading("part of a state"):
+        return StatePart(message.id, message.parts, message.data)
 
 
 def fill_answer(message, answer):
@@ -142,14 +159,16 @@
     """Return the ``Answer`` in a Cap'n Proto ``message``.
 
     The message carries no refusal reason: unless the request ran, the reason is
-    ``KEY_TAKEN``. Raises ``ValueError`` when the message names no known outcome.
+    ``KEY_TAKEN``. Raises ``MessageFormatError`` like ``read_status``, and when the
+    message names no known outcome.
     """
-    outcome = Outcome(message.outcome)
-    return Answer(
-        outcome,
-        message.status,
-        tuple((header.name, header.value) for header in message.headers),
-        bytes(message.body),
-        message.target or None,
-        None if outcome is Outcome.RAN else RefusalReason.KEY_TAKEN,
-    )
+    with _reading("answer"):
+        outcome = Outcome(message.outcome)
+        return Answer(
+            outcome,
+            message.status,
+            tuple((header.name, header.value) for header in message.headers),
+            bytes(message.body),
+            message.target or None,
+            None if outcome is Outcome.RAN else RefusalReason.KEY_TAKEN,
+        )
--- a/azurelanding/entry.py
+++ b/azurelanding/entry.py
@@ -145,7 +145,7 @@
         self.registry.start(task_group)
         self.claims.start(task_group)
         self.keyed.start(task_group)
-        task_group.start_soon(self._keep_slots_updated)
+        self.start_task(task_group, "update the slots", self._keep_slots_updated)
         self.callers_server.start(task_group)
 
     async def close(self):
--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -83,34 +83,35 @@
                 with anyio.move_on_after(1.0):
                     await self.member.changes.wait()
                 continue
-            try:
-                await self._control(epoch)
-            except Exception:
-                # An error here must not end the service for callers and pools.
-                logger.exception("fleet controller failed", epoch=epoch)
-                self.member.drop_holding(TOPIC, 0)
+            await self._control(epoch)
 
     def _is_holder(self, epoch):
         return self.member.epoch_of(TOPIC, 0) == epoch
 
     async def _control(self, epoch):
-        """Control the fleet under ``epoch`` until the role is lost."""
+        """Control the fleet under ``epoch`` until the role is lost or a fault shows.
+
+        The role is given up then, so that the next holder, maybe this daemon, has a
+        higher epoch.
+        """
         make_appender = self._make_appender
-        async with anyio.create_task_group() as task_group:
-            self.appender = make_appender(TOPIC, Producer("fleet", epoch))
-            self.status_appender = make_appender(
-                self.daemon.service_clients.status_topic, Producer("wave-status", epoch)
-            )
-            task_group.start_soon(self.appender.run)
-            task_group.start_soon(self.status_appender.run)
-            if await self._take_over(epoch):
-                await self._poll_until_lost(epoch)
-            task_group.cancel_scope.cancel()
-        await self.appender.close()
-        await self.status_appender.close()
-        self.member.drop_holding(TOPIC, 0)
-        self.daemon.metrics.gauge("hosts_held_back", 0)
-        logger.info("fleet control lost", epoch=epoch)
+        self.appender = make_appender(TOPIC, Producer("fleet", epoch))
+        self.status_appender = make_appender(
+            self.daemon.service_clients.status_topic, Producer("wave-status", epoch)
+        )
+        try:
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(self.appender.run)
+                task_group.start_soon(self.status_appender.run)
+                if await self._take_over(epoch):
+                    await self._poll_until_lost(epoch)
+                task_group.cancel_scope.cancel()
+            await self.appender.close()
+            await self.status_appender.close()
+        finally:
+            self.member.drop_holding(TOPIC, 0)
+            self.daemon.metrics.gauge("hosts_held_back", 0)
+            logger.info("fleet control lost", epoch=epoch)
 
     def _make_appender(self, topic, producer):
         return Appender(topic, 0, self.daemon.service_clients.make_store(), producer)
--- a/azurelanding/fleet_fold.py
+++ b/azurelanding/fleet_fold.py
@@ -2,17 +2,9 @@
 
 import time
 
-import structlog
-
-from azurelanding.fleet_records import (
-    FleetRecordError,
-    WaveProgress,
-    decode_record,
-)
+from azurelanding.fleet_records import WaveProgress, decode_record
 from azurelanding.utils import MAX_CLOCK_SKEW_SECONDS, boot_time
 
-logger = structlog.get_logger()
-
 
 class FleetFold:
     """The fold of the fleet's stream.
@@ -43,7 +35,7 @@
         return record.offset
 
     def apply_stored(self, record):
-        """Apply one ``StoredRecord``; one that can't be decoded is logged and skipped.
+        """Apply one ``StoredRecord``; raise ``StoredRecordError`` if it is invalid.
 
         A record older than the last one applied for its key changes nothing, so the
         fleet controller can apply its own records as soon as they are stored.
@@ -51,11 +43,7 @@
         if record.offset <= self.offsets.get(record.key, -1):
             return
         self.offsets[record.key] = record.offset
-        try:
-            kind, name, decoded = decode_record(record.key, record.value)
-        except FleetRecordError as error:
-            logger.warning("fleet record ignored", fault=str(error))
-            return
+        kind, name, decoded = decode_record(record.key, record.value)
         if kind == "host":
             self._apply_plan(name, decoded)
         elif decoded is not None:
--- a/azurelanding/fleet_records.py
+++ b/azurelanding/fleet_records.py
@@ -3,6 +3,9 @@
 import attrs
 import msgspec
 
+from azurelanding.decoding import make_json_decoder
+from azurelanding.store import StoredRecordError
+
 
 @attrs.frozen
 class HostPlan:
@@ -35,11 +38,14 @@
     is_complete: bool = False
 
 
-RECORD_TYPES = {"host": HostPlan, "wave": WaveProgress}
+class FleetRecordError(StoredRecordError):
+    """A record of the fleet's stream can't be decoded."""
 
 
-class FleetRecordError(ValueError):
-    """A record of the fleet's stream can't be decoded."""
+DECODERS = {
+    "host": make_json_decoder(HostPlan, FleetRecordError),
+    "wave": make_json_decoder(WaveProgress, FleetRecordError),
+}
 
 
 def encode_record(record):
@@ -57,7 +63,7 @@
     kind, _, name = key.partition("/")
     if not value:
         return kind, name, None
-    try:
-        return kind, name, msgspec.json.decode(value, type=RECORD_TYPES[kind])
-    except (msgspec.DecodeError, KeyError) as error:
-        raise FleetRecordError(f"{key}: {error!r}") from error
+    decode = DECODERS.get(kind)
+    if decode is None:
+        raise FleetRecordError(f"no record is of the kind {kind!r}")
+    return kind, name, decode(value)
--- a/azurelanding/fleet_workers.py
+++ b/azurelanding/fleet_workers.py
@@ -12,10 +12,15 @@
 
 
 class WorkerPhase(enum.Enum):
-    """The phase that a worker reports."""
+    """The phase that a worker reports.
+
+    It is ``UNKNOWN`` while the entry of a worker that is known from an earlier one
+    can't be read: no task starts there, and what runs there goes on.
+    """
 
     READY = "ready"
     DRAINING = "draining"
+    UNKNOWN = "unknown"
 
 
 @attrs.frozen
@@ -66,11 +71,13 @@
     A host has one incarnation at a time: once a later one has registered, the earlier
     ones have ended, even if nobody could reach them. ``newest_by_host`` holds the
     latest entry of each host, ``ended`` the ids of earlier incarnations, and ``pools``
-    the workers by pool.
+    the workers by pool. ``before_load`` holds the workers that were known before the
+    last ``clear``.
     """
 
     def __init__(self):
         self.workers = {}
+        self.before_load = {}
         self.pools = {}
         self.changes = 0
         self.newest_by_host = {}
@@ -78,7 +85,7 @@
 
     def clear(self):
         """Drop all workers before they are read again from the store."""
-        self.workers = {}
+        self.before_load, self.workers = self.workers, {}
         self.pools = {}
         self.changes += 1
 
@@ -95,6 +102,15 @@
             self.pools.setdefault(entry.pool, {})[worker_id] = entry
             self._record_incarnation(entry)
 
+    def mark_unreadable(self, worker_id):
+        """Note that the entry of a worker can't be read now.
+
+        A worker that is known stays, so that its runs go on, but gets no tasks.
+        """
+        known = self.workers.get(worker_id) or self.before_load.get(worker_id)
+        if known is not None:
+            self.put(worker_id, attrs.evolve(known, phase=WorkerPhase.UNKNOWN))
+
     def _remove(self, entry):
         del self.workers[entry.id], self.pools[entry.pool][entry.id]
         if not self.pools[entry.pool]:
--- a/azurelanding/host_list/follower.py
+++ b/azurelanding/host_list/follower.py
@@ -3,7 +3,6 @@
 import http
 
 import anyio
-import msgspec
 import structlog
 
 from azurelanding.host_list import wire
@@ -43,7 +42,7 @@
             if status != http.HTTPStatus.OK:
                 raise HostListError(f"host list request answered with status {status}")
             return wire.decode_listing(content)
-        except (HttpClientError, msgspec.DecodeError) as error:
+        except (HttpClientError, wire.ListingFormatError) as error:
             raise HostListError(str(error)) from error
 
     def apply(self, listing):
--- a/azurelanding/host_list/wire.py
+++ b/azurelanding/host_list/wire.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from azurelanding.decoding import make_json_decoder
 from azurelanding.hosts import Host
 
 
@@ -23,9 +24,11 @@
     gone: tuple[str, ...] = ()
 
 
-def decode_listing(content):
-    """Return the ``HostListing`` in ``content``."""
-    return msgspec.json.decode(content, type=HostListing)
+class ListingFormatError(ValueError):
+    """A host list can't be read."""
+
+
+decode_listing = make_json_decoder(HostListing, ListingFormatError)
 
 
 def encode_listing(listing):
--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -2,15 +2,20 @@
 
 import asyncio
 import contextlib
+import typing
 
 import anyio
+import attrs
 import httpcore
 import msgspec
 
-from azurelanding.settings import split_address
+from azurelanding.addresses import is_reachable, split_address
+from azurelanding.decoding import FAULTS, make_json_decoder
 
 CONNECT_FAILED = "CONNECTION FAILED"
 """What httpcore tells of a connection that was never opened."""
+MAX_ANSWER_BYTES = 32 << 20
+"""Longest answer that is read; several times the longest list of hosts."""
 
 
 class HttpClientError(Exception):
@@ -29,6 +34,30 @@
         return isinstance(self.__cause__, (TimeoutError, httpcore.TimeoutException))
 
 
+class AnswerTooLongError(ValueError):
+    """An answer is longer than ``MAX_ANSWER_BYTES``."""
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A complete answer; ``headers`` are pairs of name and value in bytes."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    content: bytes
+
+
+def _make_origin(address):
+    """Return the ``httpcore.Origin`` at an address, ``None`` if it can't be one."""
+    if not is_reachable(address):
+        return None
+    host, port = split_address(address)
+    return httpcore.Origin(b"http", host.encode(), port)
+
+
+decode_any_json = make_json_decoder(typing.Any, ValueError)
+
+
 @contextlib.contextmanager
 def fail_after_reading(seconds):
     """Raise ``TimeoutError`` after ``seconds``, once what has arrived by then is read.
@@ -54,9 +83,22 @@
         raise TimeoutError
 
 
+async def _read(response, on_part=lambda: None):
+    """Return the body of an ``httpcore.Response``; call ``on_part()`` for each part."""
+    parts, size = [], 0
+    async for part in response.aiter_stream():
+        on_part()
+        parts.append(part)
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise AnswerTooLongError(f"more than {MAX_ANSWER_BYTES} bytes")
+    return b"".join(parts)
+
+
 class HttpClient:
     """A connection to one peer, opened on demand, for one request at a time.
 
+    Requests to an ``address`` where no peer can be fail like those to one that is down.
     ``timeout`` limits each complete exchange, in seconds, unless stated otherwise. The
     connection is closed after a failure, so that a late answer can't be taken for that
     of a later request. ``on_open()`` is called for each connection that is opened, and
@@ -64,8 +106,7 @@
     """
 
     def __init__(self, address, timeout, on_open=None):
-        host, port = split_address(address)
-        self.origin = httpcore.Origin(b"http", host.encode(), port)
+        self.origin = _make_origin(address)
         self.address = address
         self.timeout = timeout
         self.on_open = on_open
@@ -134,7 +175,7 @@
         timeout=None,
         limit_time=anyio.fail_after,
     ):
-        """Send a request and return the ``httpcore.Response`` with its whole body.
+        """Send a request and return the ``HttpAnswer``.
 
         ``timeout`` in seconds replaces that of the client, and ``limit_time(timeout)``
         applies it. Raises ``HttpClientError`` when there is no complete answer in time.
@@ -143,9 +184,9 @@
             self._exchange(timeout, limit_time),
             await self._stream(method, target, headers, body) as response,
         ):
-            content = await response.aread()
+            content = await _read(response)
         self._tell_answer(target, response, content)
-        return response
+        return HttpAnswer(response.status, response.headers, content)
 
     async def download(self, target, timeout=None):
         """Get ``target`` and return the status and the body of the answer.
@@ -155,21 +196,24 @@
         end, where a limit of the whole would have it sent again from the start. Raises
         ``HttpClientError`` when there is no complete answer.
         """
-        parts = []
         async with (
             self._exchange(timeout) as scope,
             await self._stream("GET", target) as response,
         ):
-            async for part in response.aiter_stream():
-                parts.append(part)
+
+            def extend_deadline():
                 scope.deadline = anyio.current_time() + self.timeout
-        content = b"".join(parts)
+
+            content = await _read(response, extend_deadline)
         self._tell_answer(target, response, content)
         return response.status, content
 
     @contextlib.asynccontextmanager
     async def _exchange(self, timeout, limit_time=anyio.fail_after):
         """Limit the time of an exchange, and close the connection if it fails."""
+        if self.origin is None:
+            message = f"no peer can be at {self.address!r}"
+            raise HttpClientError(message, sent=False)
         max_wait = self.timeout if timeout is None else timeout
         async with self.lock:
             try:
@@ -183,6 +227,7 @@
                 httpcore.ProtocolError,
                 httpcore.TimeoutException,
                 TimeoutError,
+                *FAULTS,
             ) as error:
                 message = f"no answer from {self.address}: {error!r}"
                 raise HttpClientError(message, self._was_connected()) from error
@@ -201,8 +246,8 @@
         headers = (("Content-Type", "application/json"),)
         status, content = await self.request(method, target, body, headers)
         try:
-            decoded = msgspec.json.decode(content) if content else None
-        except msgspec.DecodeError as error:
+            decoded = decode_any_json(content) if content else None
+        except ValueError as error:
             message = f"{self.address} answered {target} with no JSON"
             raise HttpClientError(message, sent=True) from error
         return status, decoded
--- a/azurelanding/http_server.py
+++ b/azurelanding/http_server.py
@@ -6,7 +6,7 @@
 import anyio
 import uvicorn
 
-from azurelanding.settings import split_address
+from azurelanding.addresses import split_address
 
 BACKLOG = 2048
 KEEP_ALIVE_SECONDS = 75
--- a/azurelanding/job_records.py
+++ b/azurelanding/job_records.py
@@ -6,7 +6,8 @@
 import attrs
 import msgspec
 
-from azurelanding.jobs import TaskId, TaskState
+from azurelanding.decoding import make_json_decoder
+from azurelanding.jobs import MAX_TASKS_PER_JOB, TaskId, TaskState
 from azurelanding.ledger import (
     JobCancelled,
     JobEnded,
@@ -17,21 +18,27 @@
     WorkSubmitted,
     record_key,
 )
-
-TYPES = {
-    "work": WorkSubmitted,
-    "job": JobSubmitted,
-    "cancel": JobCancelled,
-    "end": JobEnded,
-    "vacated": WorkersVacated,
-    "missing": WorkersMissing,
-}
+from azurelanding.store import StoredRecordError
 
 
-class JobRecordError(ValueError):
+class JobRecordError(StoredRecordError):
     """A record of a pool's stream can't be read."""
 
 
+DECODERS = {
+    kind: make_json_decoder(record_type, JobRecordError)
+    for kind, record_type in {
+        "work": WorkSubmitted,
+        "job": JobSubmitted,
+        "cancel": JobCancelled,
+        "end": JobEnded,
+        "vacated": WorkersVacated,
+        "missing": WorkersMissing,
+    }.items()
+}
+_decode_task_state = make_json_decoder(TaskState, JobRecordError)
+
+
 def encode_key(key):
     """Return the stored form of a key of the ledger."""
     kind, name = key
@@ -45,8 +52,22 @@
 
 
 def _parse_task_id(name):
-    job, occurrence, step, index = name.split(".")
-    return TaskId(job, int(occurrence), int(step), int(index))
+    try:
+        job, occurrence, step, index = name.split(".")
+        return TaskId(job, int(occurrence), int(step), int(index))
+    except ValueError as error:
+        raise JobRecordError(f"not the name of a task: {name!r}") from error
+
+
+def _check_size(record):
+    """Raise ``JobRecordError`` for work that no caller can have submitted."""
+    steps = record.steps if isinstance(record, WorkSubmitted) else record.job.steps
+    tasks = sum(step.count for step in steps)
+    occurrences = 1 if isinstance(record, WorkSubmitted) else record.job.occurrences
+    if min((step.count for step in steps), default=1) < 1 or occurrences < 1:
+        raise JobRecordError("a step without tasks, or a job without occurrences")
+    if max(tasks, 1) * occurrences > MAX_TASKS_PER_JOB:
+        raise JobRecordError(f"{tasks} tasks, {occurrences} times")
 
 
 def _without_defaults(value):
@@ -94,10 +115,12 @@
     if not value:
         return key, None
     kind, name = key
-    try:
-        if kind == "task":
-            state = msgspec.json.decode(value, type=TaskState)
-            return key, TaskChanged(_parse_task_id(name), state)
-        return key, msgspec.json.decode(value, type=TYPES[kind])
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
-        raise JobRecordError(f"record {text!r} can't be decoded: {error!r}") from error
+    if kind == "task":
+        return key, TaskChanged(_parse_task_id(name), _decode_task_state(value))
+    decode = DECODERS.get(kind)
+    if decode is None:
+        raise JobRecordError(f"no record is of the kind {kind!r}")
+    record = decode(value)
+    if isinstance(record, (WorkSubmitted, JobSubmitted)):
+        _check_size(record)
+    return key, record
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -11,6 +11,10 @@
 
 from azurelanding.tasks import Resources
 
+MAX_TASKS_PER_JOB = 100_000
+"""Limit on the tasks of a job over all its occurrences; hundreds of times the largest
+jobs seen."""
+
 
 class JobOutcome(enum.Enum):
     """How a job ended."""
@@ -122,6 +126,19 @@
             return self.submitted_at
         return self.first_due + occurrence * self.interval
 
+    @property
+    def task_count(self):
+        """Return the number of tasks over all occurrences."""
+        return sum(step.count for step in self.steps) * self.occurrences
+
+    def has_task(self, task_id):
+        """Return whether ``task_id`` names one of the tasks of the job."""
+        return (
+            0 <= task_id.occurrence < self.occurrences
+            and 0 <= task_id.step < len(self.steps)
+            and 0 <= task_id.index < self.steps[task_id.step].count
+        )
+
     @property
     def is_long_running(self):
         """Return whether the job runs until it is cancelled."""
@@ -289,8 +306,7 @@
 
     def all_done(self):
         """Return whether every task of every occurrence is done."""
-        total = sum(step.count for step in self.job.steps) * self.job.occurrences
-        return sum(self.done.values()) >= total
+        return sum(self.done.values()) >= self.job.task_count
 
 
 def task_ids(job_id, occurrence, number, step):
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -13,6 +13,7 @@
 
 from azurelanding.jobs import Job, JobOutcome, JobState, Step, TaskId, TaskState
 from azurelanding.pool_jobs import PoolJobs
+from azurelanding.store import StoredRecordError
 
 
 @attrs.frozen
@@ -144,6 +145,7 @@
 
         A record on a job that is not known yet, or of a task whose job has no work yet,
         has no effect, also not on the same record when it is read again after them.
+        Raises ``StoredRecordError`` for a task that its job doesn't have.
         """
         if offset <= self.offsets.get(key, -1) or self._is_premature(record):
             return
@@ -229,6 +231,8 @@
         state = self.active.get(record.task.job)
         if state is None:
             return
+        if not state.job.has_task(record.task):
+            raise StoredRecordError(f"job has no task {record.task}")
         pool = self.pools[state.job.pool]
         self._index_runs(pool, record.task, state.task(record.task), -1)
         state.set_task(record.task, record.state)
--- a/azurelanding/log.py
+++ b/azurelanding/log.py
@@ -48,7 +48,8 @@
         self.partial_line.append(text)
         if not text.endswith("\n"):
             return
-        data, self.partial_line = "".join(self.partial_line).encode(), []
+        line, self.partial_line = "".join(self.partial_line), []
+        data = line.encode(errors="backslashreplace")
         if self.dropped:
             data = (
                 b'level=warning event="lines dropped" count=%d\n' % self.dropped + data
--- a/azurelanding/log_service/client.py
+++ b/azurelanding/log_service/client.py
@@ -2,8 +2,6 @@
 
 import http
 
-import msgspec
-
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.log_service import wire
 
@@ -63,7 +61,7 @@
             raise LogUnavailableError(f"append to {stream} refused with {status}")
         try:
             return wire.decode_appended(content)
-        except msgspec.DecodeError as error:
+        except wire.RecordFormatError as error:
             raise ReplyLostError(f"append to {stream}: {error}") from error
 
     async def read(self, stream, start, wait=0.0, limit=READ_LIMIT_ENTRIES):
@@ -79,7 +77,7 @@
             if status != http.HTTPStatus.OK:
                 raise LogUnavailableError(f"read of {stream} refused with {status}")
             return wire.decode_batch(content)
-        except (HttpClientError, msgspec.DecodeError) as error:
+        except (HttpClientError, wire.RecordFormatError) as error:
             raise LogUnavailableError(f"read of {stream}: {error}") from error
 
     async def close(self):
--- a/azurelanding/log_service/snapshots.py
+++ b/azurelanding/log_service/snapshots.py
@@ -17,6 +17,7 @@
 import structlog
 
 from azurelanding import fleet, rules_parser
+from azurelanding.decoding import FAULTS
 from azurelanding.log_service import wire
 from azurelanding.log_service.client import (
     LogServiceError,
@@ -32,6 +33,8 @@
 PARTS_PER_READ = 16
 COMPRESSION_LEVEL = 1
 DERIVED_FIELDS = frozenset({"rules"})
+MAX_STATE_BYTES = 64 << 20
+"""Longest state; eight times that of the largest fleet."""
 
 
 class SnapshotError(ValueError):
@@ -54,7 +57,11 @@
     Raises ``SnapshotError`` when the data is damaged or of another version.
     """
     try:
-        raw = msgspec.json.decode(zlib.decompress(data), type=dict[str, msgspec.Raw])
+        decompressor = zlib.decompressobj()
+        text = decompressor.decompress(data, MAX_STATE_BYTES)
+        if not decompressor.eof:
+            raise SnapshotError(f"cut, or longer than {MAX_STATE_BYTES} bytes")
+        raw = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
         hints = typing.get_type_hints(fleet.FleetState)
         values = {
             name: msgspec.json.decode(value, type=hints[name])
@@ -65,7 +72,7 @@
         )
     except (
         zlib.error,
-        msgspec.DecodeError,
+        *FAULTS,
         KeyError,
         rules_parser.RulesError,
     ) as error:
--- a/azurelanding/log_service/wire.py
+++ b/azurelanding/log_service/wire.py
@@ -9,13 +9,14 @@
 import msgspec
 
 from azurelanding import claims, records
+from azurelanding.decoding import make_json_decoder
 
 FORMAT = 1
 MAX_RECORD_BYTES = 1 << 20
 
 
 class RecordFormatError(ValueError):
-    """A record is unreadable or of a newer format; the message says which."""
+    """An answer or a record is unreadable, or of a newer format."""
 
 
 @attrs.frozen
@@ -99,16 +100,14 @@
     """
     if len(text) > MAX_RECORD_BYTES:
         raise RecordFormatError(f"{len(text)} bytes are over {MAX_RECORD_BYTES}")
-    try:
-        envelope = msgspec.json.decode(text, type=_Envelope)
-        if envelope.v > min(adopted, FORMAT):
-            raise RecordFormatError(f"format {envelope.v} is newer than {adopted}")
-        body_type = body_types.get(envelope.kind)
-        if body_type is None:
-            raise RecordFormatError(f"unknown kind {envelope.kind!r}")
-        return envelope, msgspec.json.decode(envelope.body, type=body_type)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise RecordFormatError(str(error)) from error
+    envelope = _decode_envelope_message(text)
+    if envelope.v > min(adopted, FORMAT):
+        raise RecordFormatError(f"format {envelope.v} is newer than {adopted}")
+    body_type = body_types.get(envelope.kind)
+    if body_type is None:
+        raise RecordFormatError(f"unknown kind {envelope.kind!r}")
+    decode_body = make_json_decoder(body_type, RecordFormatError)
+    return envelope, decode_body(envelope.body)
 
 
 def encode_record(record):
@@ -142,10 +141,7 @@
 
     Raises ``RecordFormatError`` when this version can't read it.
     """
-    try:
-        part = msgspec.json.decode(text, type=SnapshotPart)
-    except msgspec.DecodeError as error:
-        raise RecordFormatError(str(error)) from error
+    part = _decode_part_message(text)
     if part.v > FORMAT:
         raise RecordFormatError(f"format {part.v} is newer than {FORMAT}")
     if not 0 <= part.index < part.count:
@@ -166,6 +162,13 @@
     releases: tuple[tuple[str, str], ...] = ()
 
 
+_decode_envelope_message = make_json_decoder(_Envelope, RecordFormatError)
+_decode_part_message = make_json_decoder(SnapshotPart, RecordFormatError)
+_decode_claims_message = make_json_decoder(_ClaimBatchMessage, RecordFormatError)
+_decode_batch_message = make_json_decoder(Batch, RecordFormatError)
+_decode_appended_message = make_json_decoder(Appended, RecordFormatError)
+
+
 def encode_claims(batch):
     """Return the ``ClaimBatch`` ``batch`` as the text of a log entry."""
     message = _ClaimBatchMessage(
@@ -185,10 +188,7 @@
 
     Raises ``RecordFormatError`` when this version can't read it.
     """
-    try:
-        message = msgspec.json.decode(text, type=_ClaimBatchMessage)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise RecordFormatError(str(error)) from error
+    message = _decode_claims_message(text)
     if message.v > FORMAT:
         raise RecordFormatError(f"format {message.v} is newer than {FORMAT}")
     owner = (message.author, message.address)
@@ -203,12 +203,12 @@
 
 def decode_batch(content):
     """Return the ``Batch`` in the content of the answer to a read."""
-    return msgspec.json.decode(content, type=Batch)
+    return _decode_batch_message(content)
 
 
 def decode_appended(content):
     """Return the offset in the content of the answer to an append."""
-    return msgspec.json.decode(content, type=Appended).offset
+    return _decode_appended_message(content).offset
 
 
 def encode(value):
--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -12,6 +12,7 @@
 """
 
 import random
+import re
 import zlib
 
 import anyio
@@ -37,6 +38,7 @@
 of a lower rank which start at the same time join first. A rank multiplies it."""
 RESERVE_MARK = ".reserve"
 """Precedes the rank in the member name of a reserve, where other daemons read it."""
+RESERVE_PATTERN = re.compile(re.escape(RESERVE_MARK) + r"([0-9]{1,2})\Z")
 RESERVE_RANK_FACTOR = 4
 """How many times less bandwidth one more rank means."""
 CONTROLLER_LINK_BYTES_PER_SECOND = 6_000_000.0
@@ -78,8 +80,8 @@
 
 def rank_of(name):
     """Return the reserve rank in a member name."""
-    rank = name.rpartition(RESERVE_MARK)[2]
-    return int(rank) if RESERVE_MARK in name and rank.isdecimal() else 0
+    match = RESERVE_PATTERN.search(name)
+    return int(match[1]) if match else 0
 
 
 def daemon_name(name):
--- a/azurelanding/metrics.py
+++ b/azurelanding/metrics.py
@@ -2,7 +2,7 @@
 
 import statsd
 
-from azurelanding.settings import split_address
+from azurelanding.addresses import split_address
 
 
 class Metrics:
--- a/azurelanding/operators/client.py
+++ b/azurelanding/operators/client.py
@@ -2,8 +2,6 @@
 
 import http
 
-import msgspec
-
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.operators import wire
 
@@ -25,8 +23,8 @@
 def _read_error(status, content):
     """Return the ``error`` in ``content``, or the status and the whole content."""
     try:
-        return msgspec.json.decode(content, type=dict[str, str])["error"]
-    except (msgspec.DecodeError, KeyError):
+        return wire.decode(content, dict[str, str])["error"]
+    except (wire.MessageFormatError, KeyError):
         return f"{status}: {content.decode(errors='replace')}"
 
 
@@ -56,7 +54,7 @@
             raise DaemonRefusedError(_read_error(status, content))
         try:
             return wire.decode(content, value_type)
-        except msgspec.DecodeError as error:
+        except wire.MessageFormatError as error:
             raise DaemonRefusedError(f"unreadable answer to {path}: {error}") from error
 
     async def status(self):
--- a/azurelanding/operators/command_line.py
+++ b/azurelanding/operators/command_line.py
@@ -7,13 +7,13 @@
 import anyio
 import msgspec
 
+from azurelanding.addresses import is_address
 from azurelanding.operators.client import (
     AnswerLostError,
     DaemonRefusedError,
     DaemonUnreachableError,
     OperatorsClient,
 )
-from azurelanding.settings import is_address
 
 DEFAULT_DAEMON = "127.0.0.1:8090"
 AUDIT_HINT = "see azurelanding audit"
--- a/azurelanding/operators/task_api.py
+++ b/azurelanding/operators/task_api.py
@@ -6,12 +6,11 @@
 import urllib.parse
 
 import anyio
-import msgspec
 
 from azurelanding import http_server, rules_parser, task_records
 from azurelanding.log_service.client import LogServiceError
 from azurelanding.log_service.task_stream import TasksNotRecordedError, TaskStream
-from azurelanding.operators import task_reports, task_wire
+from azurelanding.operators import task_reports, task_wire, wire
 from azurelanding.tasks import new_tasks, pool_of
 
 MAX_REQUEST_BYTES = 4 << 20
@@ -134,9 +133,9 @@
         return http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"error": "too many tasks"}
     request_type, change = CHANGE_HANDLERS[path]
     try:
-        request = msgspec.json.decode(content, type=request_type)
+        request = wire.decode(content, request_type)
         return http.HTTPStatus.OK, await change(daemon, request)
-    except msgspec.DecodeError as error:
+    except wire.MessageFormatError as error:
         return http.HTTPStatus.BAD_REQUEST, {"error": str(error)}
     except TasksRefusedError as error:
         undecided = isinstance(error, TasksUndecidedError)
--- a/azurelanding/operators/wire.py
+++ b/azurelanding/operators/wire.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from azurelanding import records
+from azurelanding.decoding import make_json_decoder
 
 STATUS_PATH = "/v1/status"
 HOSTS_PATH = "/v1/hosts"
@@ -19,7 +20,11 @@
 CHANGES_PATH = "/v1/changes"
 
 
-class ChangeFormatError(ValueError):
+class MessageFormatError(ValueError):
+    """A request of an operator, or the answer to it, can't be read."""
+
+
+class ChangeFormatError(MessageFormatError):
     """A requested change can't be decoded."""
 
 
@@ -217,8 +222,11 @@
 
 
 def decode(content, value_type):
-    """Return the ``value_type`` in the JSON ``content``."""
-    return msgspec.json.decode(content, type=value_type)
+    """Return the ``value_type`` in the JSON ``content``.
+
+    Raises ``MessageFormatError`` when it can't be read.
+    """
+    return make_json_decoder(value_type, MessageFormatError)(content)
 
 
 def encode_change(body, asked_by):
@@ -234,11 +242,9 @@
 
     Raises ``ChangeFormatError`` when ``content`` is not a valid change.
     """
-    try:
-        request = msgspec.json.decode(content, type=ChangeRequest)
-        body_type = records.BODY_TYPES[request.kind]
-        return msgspec.json.decode(request.body, type=body_type), request.asked_by
-    except KeyError as error:
-        raise ChangeFormatError(f"unknown kind of change {error}") from error
-    except msgspec.DecodeError as error:
-        raise ChangeFormatError(str(error)) from error
+    request = make_json_decoder(ChangeRequest, ChangeFormatError)(content)
+    body_type = records.BODY_TYPES.get(request.kind)
+    if body_type is None:
+        raise ChangeFormatError(f"unknown kind of change {request.kind!r}")
+    decode_body = make_json_decoder(body_type, ChangeFormatError)
+    return decode_body(request.body), request.asked_by
--- a/azurelanding/platform/advice.py
+++ b/azurelanding/platform/advice.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from azurelanding.decoding import Name, Text, listed, make_json_decoder, message_type
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.start_permits import AdviceError
 
@@ -12,6 +13,9 @@
 TIMEOUT_MARGIN_SECONDS = 1.5
 """Added to the service's stated response time, for an answer that is late."""
 
+AnswerMessage = message_type("AnswerMessage", {"good": listed(tuple[Name, Text])})
+decode_answer = make_json_decoder(AnswerMessage, AdviceError)
+
 
 class AdviceClient:
     """Client of the advice service: one connection, one request at a time.
@@ -46,11 +50,9 @@
             )
             if status != http.HTTPStatus.OK:
                 raise AdviceError(f"the advice service answered with status {status}")
-            return dict(msgspec.json.decode(content)["good"])
-        except (HttpClientError, msgspec.DecodeError, KeyError, ValueError) as error:
-            raise AdviceError(
-                f"no valid answer from the advice service: {error!r}"
-            ) from error
+            return dict(decode_answer(content)["good"])
+        except HttpClientError as error:
+            raise AdviceError(f"no answer from the advice service: {error}") from error
 
     async def close(self):
         """Close the connection; may be called twice."""
--- a/azurelanding/platform/callers.py
+++ b/azurelanding/platform/callers.py
@@ -1,22 +1,34 @@
 """HTTP API for callers: submit and cancel jobs, and read their state."""
 
 import http
+import math
 import time
+import typing
 
 import attrs
 import msgspec
 import structlog
 
 from azurelanding import http_server
+from azurelanding.decoding import (
+    Count,
+    DurationMs,
+    PositiveCount,
+    Text,
+    TimeMs,
+    make_json_decoder,
+    message_type,
+)
 from azurelanding.job_service import Acceptance, StateUnknownError
-from azurelanding.jobs import Job, Step
-from azurelanding.platform.workers import decode_resources
+from azurelanding.jobs import MAX_TASKS_PER_JOB, Job, Step
+from azurelanding.platform.workers import CAPACITY_FIELDS, decode_resources
 
 logger = structlog.get_logger()
 
-MAX_TASKS_PER_JOB = 100_000
-"""Limit on the tasks of a job over all its occurrences; hundreds of times the largest
-jobs seen."""
+MAX_STEPS = 1000
+"""Longest list of steps, and of steps that one comes after; hundreds of times the
+largest jobs seen."""
+MAX_SPEC_CHARACTERS = 4000
 JOB_ID_LENGTH = 16
 JOB_ID_DIGITS = frozenset("0123456789abcdef")
 MS_PER_SECOND = 1000.0
@@ -33,75 +45,97 @@
     """The body of a submission is not a valid job."""
 
 
+Estimate = typing.NotRequired[DurationMs]
+Flag = typing.NotRequired[bool]
+Label = typing.NotRequired[Text]
+After = typing.Annotated[list[Count], msgspec.Meta(max_length=MAX_STEPS)]
+StepMessage = message_type(
+    "StepMessage",
+    {
+        **CAPACITY_FIELDS,
+        "count": PositiveCount,
+        "estimatedMs": Estimate,
+        "after": typing.NotRequired[After],
+        "gang": Flag,
+        "sameRack": Flag,
+        "requirements": Label,
+        "affinity": Label,
+        "antiAffinity": typing.NotRequired[Count],
+        "speculative": Flag,
+        "longRunning": Flag,
+        "checkpointing": Flag,
+        "image": Label,
+        "targetMs": Estimate,
+        "fills": Flag,
+        "mayMiss": typing.NotRequired[Count],
+    },
+)
+JobMessage = message_type(
+    "JobMessage",
+    {
+        "spec": typing.Annotated[str, msgspec.Meta(max_length=MAX_SPEC_CHARACTERS)],
+        "steps": typing.Annotated[
+            list[StepMessage], msgspec.Meta(max_length=MAX_STEPS)
+        ],
+        "repeatCount": typing.NotRequired[Count],
+        "startAtMs": typing.NotRequired[TimeMs],
+        "intervalMs": Estimate,
+    },
+)
+_decode_job_message = make_json_decoder(JobMessage, JobFormatError)
+
+
 def _decode_step(values, number):
     after = tuple(values.get("after", ()))
-    if not all(isinstance(n, int) and 0 <= n < number for n in after):
-        raise JobFormatError(f"step {number} is after {after}")
+    if any(earlier >= number for earlier in after):
+        raise JobFormatError(f"step {number} is after one that isn't earlier")
     return Step(
-        count=int(values["count"]),
+        count=values["count"],
         need=decode_resources(values),
         estimate=values.get("estimatedMs", 0) / MS_PER_SECOND,
         after=after,
-        gang=bool(values.get("gang", False)),
-        same_rack=bool(values.get("sameRack", False)),
+        gang=values.get("gang", False),
+        same_rack=values.get("sameRack", False),
         label=values.get("requirements", ""),
         rack=values.get("affinity", ""),
         per_worker=values.get("antiAffinity", 0),
-        speculative=bool(values.get("speculative", False)),
-        long_running=bool(values.get("longRunning", False)),
-        checkpoints=bool(values.get("checkpointing", False)),
+        speculative=values.get("speculative", False),
+        long_running=values.get("longRunning", False),
+        checkpoints=values.get("checkpointing", False),
         image=values.get("image", ""),
         tail_target=values.get("targetMs", 0) / MS_PER_SECOND,
-        fills=bool(values.get("fills", False)),
+        fills=values.get("fills", False),
         may_miss=values.get("mayMiss", 0),
     )
 
 
-def _check_size(job):
-    counts = [step.count for step in job.steps]
-    if min(counts, default=1) < 1 or sum(counts) * job.occurrences > MAX_TASKS_PER_JOB:
-        raise JobFormatError(f"steps of {counts} tasks, {job.occurrences} times")
-
-
 def decode_job(job_id, queue, body, now):
     """Decode the body of a submission to ``queue`` into a ``Job``.
 
     ``now`` is the submission time in seconds since the epoch. Raises
     ``JobFormatError`` when the body is not a valid job.
     """
-    try:
-        values = msgspec.json.decode(body)
-        steps = tuple(_decode_step(s, n) for n, s in enumerate(values["steps"]))
-        repeats = values.get("repeatCount", 0)
-        job = Job(
-            id=job_id,
-            queue=queue.name,
-            pool=queue.pool,
-            spec=values["spec"],
-            steps=steps,
-            submitted_at=now,
-            occurrences=max(1, repeats),
-            first_due=values.get("startAtMs", 0) / MS_PER_SECOND if repeats else 0.0,
-            interval=values.get("intervalMs", 0) / MS_PER_SECOND,
-            max_attempts=queue.max_attempts,
-            priority=queue.priority,
-            stretch=queue.stretch,
-            target_duration=queue.target_duration,
-        )
-        _check_size(job)
-        # Decoding the encoded job checks the types of all its fields: no daemon could
-        # read the stored record of a job with a wrong one.
-        return msgspec.json.decode(msgspec.json.encode(job), type=Job)
-    except JobFormatError:
-        raise
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
-        raise JobFormatError(f"the job can't be read: {error!r}") from error
+    values = _decode_job_message(body)
+    steps = tuple(_decode_step(s, n) for n, s in enumerate(values["steps"]))
+    repeats = values.get("repeatCount", 0)
+    job = Job(
+        id=job_id,
+        queue=queue.name,
+        pool=queue.pool,
+        spec=values["spec"],
+        steps=steps,
+        submitted_at=now,
+        occurrences=max(1, repeats),
+        first_due=values.get("startAtMs", 0) / MS_PER_SECOND if repeats else 0.0,
+        interval=values.get("intervalMs", 0) / MS_PER_SECOND,
+        max_attempts=queue.max_attempts,
+        priority=queue.priority,
+        stretch=queue.stretch,
+        target_duration=queue.target_duration,
+    )
+    if job.task_count > MAX_TASKS_PER_JOB:
+        raise JobFormatError(f"{job.task_count} tasks, at most {MAX_TASKS_PER_JOB}")
+    return job
 
 
 async def _reply(send, status, value=None, headers=()):
@@ -125,7 +159,9 @@
     try:
         caller_timeout = float(headers.get("x-request-deadline", "inf")) / MS_PER_SECOND
     except ValueError:
-        caller_timeout = float("inf")
+        caller_timeout = math.inf
+    if math.isnan(caller_timeout):
+        caller_timeout = math.inf
     queue_timeout = queue.timeout or float("inf")
     return min(caller_timeout, queue_timeout, limits.max_timeout) * limits.timeout_share
 
@@ -229,6 +265,10 @@
             await _serve(context, scope, receive, send)
         except ConnectionResetError:
             logger.info("caller disconnected before its request was complete")
+        except Exception:
+            # Whether the request has had an effect is not known, which 504 says.
+            logger.exception("request failed", path=scope["path"])
+            await _reply(send, http.HTTPStatus.GATEWAY_TIMEOUT)
 
     return app
 
--- a/azurelanding/platform/hosts.py
+++ b/azurelanding/platform/hosts.py
@@ -4,16 +4,18 @@
 """
 
 import http
+import typing
 import urllib.parse
 
 import anyio
 import msgspec
 import structlog
 
+from azurelanding.decoding import Name, Text, listed, make_json_decoder, message_type
 from azurelanding.fleet_workers import HostEntry, HostPhase
 from azurelanding.host_calls import HostBusyError, HostCallError, HostFencedError
 from azurelanding.http_client import HttpClient, HttpClientError
-from azurelanding.platform.workers import decode_resources
+from azurelanding.platform.workers import Capacity, decode_resources
 
 logger = structlog.get_logger()
 
@@ -29,28 +31,81 @@
 }
 
 
-def decode_host(values):
-    """Decode one row of the host list; return ``None`` if it is invalid."""
-    try:
-        return HostEntry(
-            name=values["machine"],
-            pool=values["pool"],
-            phase=HOST_PHASES[values["state"]],
-            worker=values.get("id") or "",
-            resources=decode_resources(values.get("capacity") or {}),
-            labels=tuple(values.get("labels", ())),
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        logger.warning("invalid host entry ignored", fault=repr(error))
-        return None
+HostRow = message_type(
+    "HostRow",
+    {
+        "machine": Name,
+        "pool": Text,
+        "state": typing.Literal["up", "moving", "upkeep", "down"],
+        "labels": typing.NotRequired[listed(Text) | None],
+        "capacity": typing.NotRequired[Capacity | None],
+        "id": typing.NotRequired[Text | None],
+    },
+)
+PageMessage = message_type(
+    "PageMessage",
+    {
+        "machines": typing.NotRequired[listed(msgspec.Raw)],
+        "nextPageToken": typing.NotRequired[Text | None],
+    },
+)
+RefusalMessage = message_type(
+    "RefusalMessage", {"reason": typing.NotRequired[str | None]}
+)
+
+
+class HostRowError(ValueError):
+    """A row of the host list can't be read; the others are not affected."""
+
+
+_decode_row = make_json_decoder(HostRow, HostRowError)
+decode_page = make_json_decoder(PageMessage, HostCallError)
+decode_refusal = make_json_decoder(RefusalMessage, HostCallError)
+
+
+def decode_host(content):
+    """Decode one row of the host list into a ``HostEntry``.
+
+    Raises ``HostRowError`` when it can't be read.
+    """
+    values = _decode_row(content)
+    return HostEntry(
+        name=values["machine"],
+        pool=values["pool"],
+        phase=HOST_PHASES[values["state"]],
+        worker=values.get("id") or "",
+        resources=decode_resources(values.get("capacity") or {}),
+        labels=tuple(values.get("labels") or ()),
+    )
+
+
+def decode_hosts(rows):
+    """Return the ``HostEntry``s in rows of the host list by name, and the first fault.
+
+    Rows that can't be read are left out; the fault is ``None`` without such rows.
+    """
+    hosts, first_fault = {}, None
+    for row in rows:
+        try:
+            host = decode_host(row)
+        except HostRowError as error:
+            first_fault = first_fault or str(error)
+        else:
+            hosts[host.name] = host
+    return hosts, first_fault
 
 
 class HostsClient:
-    """Client of the platform's host API: one connection, one call at a time."""
+    """Client of the platform's host API: one connection, one call at a time.
+
+    ``logged_fault`` is the fault of a row that was last logged, so that a list that is
+    read several times a second doesn't log it each time.
+    """
 
     def __init__(self, connection, holder):
         self.connection = connection
         self.holder = holder
+        self.logged_fault = None
 
     @classmethod
     def from_config(cls, address, holder):
@@ -59,23 +114,17 @@
 
     async def _call(self, method, target, body=b"", headers=()):
         try:
-            status, content = await self.connection.request(
-                method, target, body, headers
-            )
+            return await self.connection.request(method, target, body, headers)
         except HttpClientError as error:
             raise HostCallError(f"{target}: {error}") from error
-        try:
-            return status, msgspec.json.decode(content) if content else {}
-        except msgspec.DecodeError as error:
-            raise HostCallError(f"{target}: {error}") from error
 
     async def _page(self, token):
         """Return the page of the host list at ``token``, the first one without."""
         query = f"?{urllib.parse.urlencode({'pageToken': token})}" if token else ""
-        status, page = await self._call("GET", f"/v1/machines{query}")
+        status, content = await self._call("GET", f"/v1/machines{query}")
         if status != http.HTTPStatus.OK:
             raise HostCallError(f"the host list was refused with status {status}")
-        return page
+        return decode_page(content)
 
     async def _later_page(self, token):
         """Return a page after the first, again requested if it is lost or refused."""
@@ -93,16 +142,26 @@
         The platform limits the pages in a second, so the list of a large fleet is
         refused in the middle: the pages before that are kept. Raises ``HostCallError``.
         """
-        hosts, page = {}, await self._page("")
+        hosts, fault, tokens, page = {}, None, set(), await self._page("")
         while True:
-            for row in page.get("machines", ()):
-                host = decode_host(row)
-                if host is not None:
-                    hosts[host.name] = host
+            read, page_fault = decode_hosts(page.get("machines", ()))
+            hosts.update(read)
+            fault = fault or page_fault
             token = page.get("nextPageToken") or ""
             if not token:
-                return hosts
+                break
+            if token in tokens:
+                raise HostCallError("the pages of the host list repeat")
+            tokens.add(token)
             page = await self._later_page(token)
+        self._log_fault(fault)
+        return hosts
+
+    def _log_fault(self, fault):
+        """Log the fault of a row, unless it was the same in the last list."""
+        if fault is not None and fault != self.logged_fault:
+            logger.warning("invalid host entry ignored", fault=fault)
+        self.logged_fault = fault
 
     async def _order(self, name, values, epoch):
         headers = (
@@ -111,10 +170,10 @@
             ("X-Fencing-Token", str(epoch)),
         )
         body = msgspec.json.encode(values)
-        status, answer = await self._call("POST", f"/v1/{name}", body, headers)
+        status, content = await self._call("POST", f"/v1/{name}", body, headers)
         if status == http.HTTPStatus.OK:
             return
-        reason = answer.get("reason") if isinstance(answer, dict) else None
+        reason = decode_refusal(content or b"{}").get("reason")
         if status == http.HTTPStatus.CONFLICT and reason == "fence":
             raise HostFencedError(f"{name}: epoch {epoch} was superseded")
         if status == http.HTTPStatus.CONFLICT:
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -50,16 +50,17 @@
 
 
 def decode_operator_record(record):
-    """Return the ``Configuration`` or ``Wave`` in a record of the operator.
+    """Return the ``Configuration`` or ``WaveRequest`` in a record of the operator.
 
-    Returns ``None`` for other records, invalid ones and deleted keys.
+    Returns ``None`` for other records and deleted keys. Raises ``StoredRecordError``
+    for invalid ones.
     """
     if not record.value:
         return None
     if record.key == operator.CONFIG_KEY:
         return operator.decode_configuration(record.value)
     if record.key.startswith(operator.WAVE_PREFIX):
-        return operator.decode_wave(record.key, record.value)
+        return operator.decode_wave(record.value)
     return None
 
 
--- a/azurelanding/platform/operator.py
+++ b/azurelanding/platform/operator.py
@@ -1,15 +1,99 @@
 """Decode the operator's configuration and waves, and encode the status of a wave."""
 
-import msgspec
-import structlog
+import typing
 
-from azurelanding.configuration import Advice, Configuration, Pool, Queue, WaveRequest
+import msgspec
 
-logger = structlog.get_logger()
+from azurelanding.configuration import (
+    DEFAULT_MAX_BODY_BYTES,
+    Advice,
+    Configuration,
+    Pool,
+    Queue,
+    WaveRequest,
+)
+from azurelanding.decoding import (
+    MAX_DURATION_MS,
+    Amount,
+    Count,
+    DurationMs,
+    Name,
+    PositiveCount,
+    Text,
+    listed,
+    make_json_decoder,
+    message_type,
+)
+from azurelanding.store import StoredRecordError
 
 CONFIG_KEY = "config"
 WAVE_PREFIX = "wave/"
 MS_PER_SECOND = 1000.0
+MAX_DURATION_SECONDS = MAX_DURATION_MS / MS_PER_SECOND
+
+AdviceMessage = message_type(
+    "AdviceMessage",
+    {
+        "decisionMs": typing.NotRequired[DurationMs],
+        "periodMs": typing.NotRequired[DurationMs],
+        "validMs": typing.NotRequired[DurationMs],
+    },
+)
+RouteMessage = message_type(
+    "RouteMessage",
+    {
+        "name": Name,
+        "host": Text,
+        "pathPrefix": Text,
+        "service": Name,
+        "timeoutMs": typing.NotRequired[DurationMs],
+        "targetDurationMs": typing.NotRequired[DurationMs],
+        "priority": typing.NotRequired[Count],
+        "maxAttempts": typing.NotRequired[PositiveCount],
+        "stretch": typing.NotRequired[Amount],
+        "advice": typing.NotRequired[AdviceMessage | None],
+    },
+)
+ServiceMessage = message_type(
+    "ServiceMessage",
+    {
+        "name": Name,
+        "rejectsOverload": typing.NotRequired[bool],
+        "standby": typing.NotRequired[bool],
+    },
+)
+LimitsMessage = message_type(
+    "LimitsMessage", {"maxBodyBytes": typing.NotRequired[Count]}
+)
+ConfigurationMessage = message_type(
+    "ConfigurationMessage",
+    {
+        "version": Count,
+        "routes": listed(RouteMessage),
+        "services": listed(ServiceMessage),
+        "limits": typing.NotRequired[LimitsMessage | None],
+    },
+)
+WaveDuration = typing.Annotated[float, msgspec.Meta(gt=0.0, le=MAX_DURATION_SECONDS)]
+WaveMessage = message_type(
+    "WaveMessage",
+    {
+        "wave": Count,
+        "machines": listed(Name),
+        "durationS": WaveDuration,
+        "maximum": PositiveCount,
+    },
+)
+
+
+class OperatorRecordError(StoredRecordError):
+    """A record of the operator can't be read; the previous one stays in force."""
+
+
+_decode_configuration_message = make_json_decoder(
+    ConfigurationMessage, OperatorRecordError
+)
+_decode_wave_message = make_json_decoder(WaveMessage, OperatorRecordError)
 
 
 def _decode_advice(values):
@@ -38,45 +122,34 @@
 
 
 def decode_configuration(value):
-    """Decode a configuration; return ``None`` if it is invalid."""
-    try:
-        values = msgspec.json.decode(value)
-        pools = {
-            service["name"]: Pool(
-                service["name"],
-                service.get("rejectsOverload", False),
-                service.get("standby", False),
-            )
-            for service in values["services"]
-        }
-        limits = values.get("limits") or {}
-        return Configuration(
-            version=values["version"],
-            queues=tuple(map(_decode_queue, values["routes"])),
-            pools=pools,
-            max_body=limits.get("maxBodyBytes", 262_144),
+    """Decode a ``Configuration``; raise ``OperatorRecordError`` if it is invalid."""
+    values = _decode_configuration_message(value)
+    pools = {
+        service["name"]: Pool(
+            service["name"],
+            service.get("rejectsOverload", False),
+            service.get("standby", False),
         )
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError) as error:
-        logger.warning(
-            "invalid configuration ignored, previous one stays in force",
-            fault=repr(error),
-        )
-        return None
+        for service in values["services"]
+    }
+    limits = values.get("limits") or {}
+    return Configuration(
+        version=values["version"],
+        queues=tuple(map(_decode_queue, values["routes"])),
+        pools=pools,
+        max_body=limits.get("maxBodyBytes", DEFAULT_MAX_BODY_BYTES),
+    )
 
 
-def decode_wave(key, value):
-    """Decode a wave; return ``None`` if it is invalid."""
-    try:
-        values = msgspec.json.decode(value)
-        return WaveRequest(
-            number=values["wave"],
-            hosts=tuple(values["machines"]),
-            duration=float(values["durationS"]),
-            at_once=values["maximum"],
-        )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-        logger.warning("invalid wave ignored", key=key, fault=repr(error))
-        return None
+def decode_wave(value):
+    """Decode a ``WaveRequest``; raise ``OperatorRecordError`` if it is invalid."""
+    values = _decode_wave_message(value)
+    return WaveRequest(
+        number=values["wave"],
+        hosts=tuple(values["machines"]),
+        duration=values["durationS"],
+        at_once=values["maximum"],
+    )
 
 
 def encode_wave_status(number, is_complete):
--- a/azurelanding/platform/settings.py
+++ b/azurelanding/platform/settings.py
@@ -2,9 +2,18 @@
 
 import os
 import pathlib
-
-import msgspec
-
+import typing
+
+from azurelanding.addresses import is_address, is_peer_address
+from azurelanding.decoding import (
+    Amount,
+    DurationMs,
+    Name,
+    PositiveCount,
+    Text,
+    make_json_decoder,
+    message_type,
+)
 from azurelanding.settings import SettingsError
 from azurelanding.site import Site, StoreSettings, Timing
 
@@ -13,6 +22,50 @@
 BYTES_PER_MEGABIT = 125_000
 
 
+BoundSeconds = typing.NotRequired[DurationMs]
+"""Seconds and milliseconds have the same bounds here, both far from any real value."""
+StoreMessage = message_type(
+    "StoreMessage",
+    {
+        "address": Name,
+        "parts": typing.NotRequired[PositiveCount],
+        "ttlMinMs": typing.NotRequired[DurationMs],
+    },
+)
+ListenMessage = message_type("ListenMessage", {"frontend": Name, "readiness": Name})
+CloudMessage = message_type(
+    "CloudMessage", {"address": typing.NotRequired[Text | None]}
+)
+LimitsMessage = message_type(
+    "LimitsMessage", {"linkMbps": typing.NotRequired[Amount | None]}
+)
+BoundsMessage = message_type(
+    "BoundsMessage",
+    {
+        "maxHoldMs": BoundSeconds,
+        "graceS": BoundSeconds,
+        "status_s": BoundSeconds,
+        "leaseMs": BoundSeconds,
+        "maintenanceS": BoundSeconds,
+    },
+)
+SettingsMessage = message_type(
+    "SettingsMessage",
+    {
+        "nodeName": Name,
+        "zone": Text,
+        "ip": Name,
+        "listen": ListenMessage,
+        "platform": StoreMessage,
+        "cloudApi": typing.NotRequired[CloudMessage | None],
+        "advice": typing.NotRequired[Text | None],
+        "limits": typing.NotRequired[LimitsMessage | None],
+        "bounds": typing.NotRequired[BoundsMessage | None],
+    },
+)
+_decode_message = make_json_decoder(SettingsMessage, SettingsError)
+
+
 def _decode_store(values):
     return StoreSettings(
         address=values["address"],
@@ -42,7 +95,17 @@
 def _decode_link_rate(limits):
     """Return the host's bandwidth in bytes per second, or ``None`` if not given."""
     megabits = limits.get("linkMbps")
-    return float(megabits) * BYTES_PER_MEGABIT if megabits else None
+    return megabits * BYTES_PER_MEGABIT if megabits else None
+
+
+def _check_addresses(site):
+    """Raise ``SettingsError`` for an address that can't be listened on or called."""
+    for address in (site.callers_address, site.readiness_address):
+        if not is_address(address):
+            raise SettingsError(f"can't listen on {address!r}")
+    for address in (site.store.address, site.hosts_address, site.advice_address):
+        if address and not is_peer_address(address):
+            raise SettingsError(f"no peer can be at {address!r}")
 
 
 def decode_settings(text):
@@ -50,30 +113,22 @@
 
     Raises ``SettingsError``, which names the missing field or wrong type.
     """
-    try:
-        values = msgspec.json.decode(text)
-        cloud_api = values.get("cloudApi") or {}
-        bounds = values.get("bounds") or {}
-        return Site(
-            name=values["nodeName"],
-            availability_zone=values["zone"],
-            callers_address=values["listen"]["frontend"],
-            readiness_address=values["listen"]["readiness"],
-            metrics_ip=values["ip"],
-            store=_decode_store(values["platform"]),
-            hosts_address=cloud_api.get("address", ""),
-            advice_address=values.get("advice") or "",
-            link_rate=_decode_link_rate(values.get("limits") or {}),
-            timing=_decode_timing(bounds),
-        )
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
-        raise SettingsError(f"invalid settings: {error!r}") from error
+    values = _decode_message(text)
+    cloud_api = values.get("cloudApi") or {}
+    site = Site(
+        name=values["nodeName"],
+        availability_zone=values["zone"],
+        callers_address=values["listen"]["frontend"],
+        readiness_address=values["listen"]["readiness"],
+        metrics_ip=values["ip"],
+        store=_decode_store(values["platform"]),
+        hosts_address=cloud_api.get("address") or "",
+        advice_address=values.get("advice") or "",
+        link_rate=_decode_link_rate(values.get("limits") or {}),
+        timing=_decode_timing(values.get("bounds") or {}),
+    )
+    _check_addresses(site)
+    return site
 
 
 def read_settings():
--- a/azurelanding/platform/store.py
+++ b/azurelanding/platform/store.py
@@ -1,9 +1,9 @@
 """HTTP client of the platform's store: a log with topics and partitions."""
 
-import base64
 import contextlib
 import http
 import struct
+import typing
 import urllib.parse
 
 import anyio
@@ -11,6 +11,7 @@
 import msgspec
 
 from azurelanding.answer_timeout import AnswerTimeout
+from azurelanding.decoding import Count, Text, listed, make_json_decoder, message_type
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.store import (
     Membership,
@@ -58,6 +59,66 @@
 """Wire names of the topics that the platform defines: the operator writes the first
 and reads the last, the executors write the second."""
 
+AppendedMessage = message_type(
+    "AppendedMessage",
+    {"offset": typing.NotRequired[Count], "end": typing.NotRequired[Count]},
+)
+ConflictMessage = message_type(
+    "ConflictMessage",
+    {
+        "reason": typing.NotRequired[str | None],
+        "sequence": typing.NotRequired[Count | None],
+    },
+)
+GoneMessage = message_type("GoneMessage", {"first": typing.NotRequired[Count]})
+NewestItem = message_type(
+    "NewestItem",
+    {"key": Text, "value": typing.NotRequired[bytes | None], "offset": Count},
+)
+NewestMessage = message_type(
+    "NewestMessage",
+    {
+        "items": listed(NewestItem),
+        "end": Count,
+        "hasMore": typing.NotRequired[bool | None],
+    },
+)
+
+
+class AssignedRow(typing.NamedTuple):
+    """A partition that is assigned to the member that asks."""
+
+    topic: str
+    partition: Count
+    committed: int | None = None
+
+
+class OwnerRow(typing.NamedTuple):
+    """A partition of a group and the member that holds it."""
+
+    topic: str
+    partition: Count
+    member: str | None
+    committed: int | None = None
+
+
+JoinedMessage = message_type(
+    "JoinedMessage", {"generation": Count, "parts": listed(AssignedRow)}
+)
+OwnersMessage = message_type("OwnersMessage", {"parts": listed(OwnerRow)})
+
+
+def _answer_decoder(message_type):
+    return make_json_decoder(message_type, StoreNoResponseError)
+
+
+decode_appended = _answer_decoder(AppendedMessage)
+decode_conflict = _answer_decoder(ConflictMessage)
+decode_gone = _answer_decoder(GoneMessage)
+decode_newest = _answer_decoder(NewestMessage)
+decode_joined = _answer_decoder(JoinedMessage)
+decode_owners = _answer_decoder(OwnersMessage)
+
 
 def wire_topic(topic):
     """Return the name that a topic has in the store."""
@@ -81,15 +142,21 @@
     """Decode the answer to a read from offset ``start``.
 
     The records begin at a later offset when the store has deleted older ones. Raises
-    ``struct.error`` when the answer is too short.
+    ``StoreNoResponseError`` when the answer is cut.
     """
+    if len(content) < READ_HEADER.size:
+        raise StoreNoResponseError("log-read: the answer is too short")
     end, first = READ_HEADER.unpack_from(content)
     position, offset, records = READ_HEADER.size, max(start, first), []
-    while position + RECORD_LENGTH.size <= len(content):
+    while position < len(content):
+        body = position + RECORD_LENGTH.size
+        if body > len(content):
+            raise StoreNoResponseError("log-read: the answer is cut")
         (length,) = RECORD_LENGTH.unpack_from(content, position)
-        position += RECORD_LENGTH.size
-        record = content[position : position + length]
-        position += length
+        position = body + length
+        if position > len(content):
+            raise StoreNoResponseError("log-read: the answer is cut")
+        record = content[body:position]
         key_length = record[0] if record else 0
         key = record[1 : 1 + key_length].decode(errors="replace")
         records.append(StoredRecord(key, record[1 + key_length :] or None, offset))
@@ -97,13 +164,6 @@
     return ReadRecords(tuple(records), end)
 
 
-def _decode_json(content, call):
-    try:
-        return msgspec.json.decode(content)
-    except msgspec.DecodeError as error:
-        raise StoreNoResponseError(f"{call}: {error}") from error
-
-
 def _target(name, query):
     return f"/v1/{name}?{urllib.parse.urlencode(query)}" if query else f"/v1/{name}"
 
@@ -216,12 +276,14 @@
         body = b"".join(encode_keyed_record(key, value) for key, value in records)
         status, content = await self._send_append(query, body)
         if status == http.HTTPStatus.OK:
-            answer = _decode_json(content, "log-append")
+            answer = decode_appended(content)
+            if "offset" not in answer and records:
+                raise StoreNoResponseError("log-append: the answer has no offset")
             return answer.get("offset", answer.get("end"))
         if status == http.HTTPStatus.CONFLICT:
-            answer = _decode_json(content, "log-append")
+            answer = decode_conflict(content)
             if answer.get("reason") == "seq":
-                expected = answer.get("sequence", sequence)
+                expected = answer.get("sequence") or sequence
                 raise StoreSequenceError("out of sequence", expected)
             raise StoreFencedError(
                 f"a higher epoch than {producer.epoch} of {producer.name} has written"
@@ -275,7 +337,7 @@
         timeout = CALL_TIMEOUT_SECONDS + wait
         status, content = await self._download("log-read", query, timeout)
         if status == http.HTTPStatus.GONE:
-            first = _decode_json(content, "log-read").get("first", start)
+            first = decode_gone(content).get("first", start)
             raise OffsetOutOfRangeError(
                 f"{topic} is no longer kept before offset {first}", first
             )
@@ -285,10 +347,7 @@
             raise StoreRefusedError(
                 f"log-read refused with status {status}: {content[:200]}"
             )
-        try:
-            return decode_records(content, start)
-        except (struct.error, IndexError) as error:
-            raise StoreNoResponseError(f"log-read: {error}") from error
+        return decode_records(content, start)
 
     async def newest(self, topic, partition, after=None):
         """Return one page of the newest record of each key, in the order of the keys.
@@ -308,13 +367,9 @@
             return ReadRecords((), 0)
         if status != http.HTTPStatus.OK:
             raise StoreRefusedError(f"log-newest refused with status {status}")
-        page = _decode_json(content, "log-newest")
+        page = decode_newest(content)
         records = tuple(
-            StoredRecord(
-                item["key"],
-                base64.b64decode(item.get("value") or ""),
-                item["offset"],
-            )
+            StoredRecord(item["key"], item.get("value") or b"", item["offset"])
             for item in page["items"]
         )
         return ReadRecords(records, page["end"], bool(page.get("hasMore")))
@@ -341,8 +396,10 @@
             raise StoreRefusedError(
                 f"log-join refused with status {status}: {content[:200]}"
             )
-        answer = _decode_json(content, "log-join")
-        owned = frozenset((topic_from_wire(row[0]), row[1]) for row in answer["parts"])
+        answer = decode_joined(content)
+        owned = frozenset(
+            (topic_from_wire(row.topic), row.partition) for row in answer["parts"]
+        )
         return Membership(answer["generation"], owned)
 
     async def owners(self, group):
@@ -357,11 +414,10 @@
             return {}
         if status != http.HTTPStatus.OK:
             raise StoreRefusedError(f"log-owners refused with status {status}")
-        rows = _decode_json(content, "log-owners")["parts"]
         return {
-            (topic_from_wire(topic), number): member
-            for topic, number, member, _ in rows
-            if member
+            (topic_from_wire(row.topic), row.partition): row.member
+            for row in decode_owners(content)["parts"]
+            if row.member
         }
 
     async def leave(self, group, member):
--- a/azurelanding/platform/workers.py
+++ b/azurelanding/platform/workers.py
@@ -4,16 +4,30 @@
 """
 
 import http
+import re
+import typing
 
 import anyio
 import msgspec
-import structlog
 
+from azurelanding.addresses import is_peer_address
 from azurelanding.answer_timeout import AnswerTimeout
+from azurelanding.decoding import (
+    Amount,
+    Count,
+    DurationMs,
+    Name,
+    PositiveCount,
+    Text,
+    TimeMs,
+    listed,
+    make_json_decoder,
+    message_type,
+)
 from azurelanding.fleet_workers import WorkerEntry, WorkerPhase
 from azurelanding.http_client import HttpClient, HttpClientError, fail_after_reading
 from azurelanding.jobs import RunEnd, TaskId
-from azurelanding.settings import split_address
+from azurelanding.store import StoredRecordError
 from azurelanding.tasks import Resources
 from azurelanding.utils import boot_time
 from azurelanding.worker_calls import (
@@ -26,8 +40,6 @@
     WorkerReport,
 )
 
-logger = structlog.get_logger()
-
 MS_PER_SECOND = 1000.0
 MILLICORES_PER_CORE = 1000
 BYTES_PER_MEGABYTE = 1 << 20
@@ -38,6 +50,10 @@
 """Number of unanswered calls within a lease, which gives their longest timeout."""
 MAX_ENDS_PER_REPORT = 500
 """Number of ends that a worker returns at a time."""
+WORKER_ID_PATTERN = re.compile(r"[!-~]{1,255}")
+"""Ids that can be sent in the header of a call."""
+TASK_NAME_PATTERN = re.compile(r"([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})")
+PHASES = {"ready": WorkerPhase.READY, "draining": WorkerPhase.DRAINING}
 REFUSAL_BY_REASON = {
     "fence": Refusal.FENCED,
     "old": Refusal.OLD_RUN,
@@ -47,6 +63,75 @@
 }
 
 
+CAPACITY_FIELDS = {
+    "cpu": typing.NotRequired[Amount],
+    "memMb": typing.NotRequired[Count],
+    "gpus": typing.NotRequired[Count],
+}
+Capacity = message_type("Capacity", CAPACITY_FIELDS)
+EntryMessage = message_type(
+    "EntryMessage",
+    {
+        "service": Name,
+        "address": Name,
+        "zone": Text,
+        "state": typing.Literal["ready", "draining"],
+        "capacity": Capacity,
+        "machine": typing.NotRequired[Text],
+        "labels": typing.NotRequired[listed(Text)],
+        "born": typing.NotRequired[Count],
+        "coldRemainingMs": typing.NotRequired[DurationMs],
+    },
+)
+
+
+class RunRow(typing.NamedTuple):
+    """A row of the runs in progress; the last column is not always there."""
+
+    task: str
+    run: PositiveCount
+    saved: str | None
+    percent: Amount
+    usage: Amount = 0.0
+
+
+class EndRow(typing.NamedTuple):
+    """A row of the ended runs."""
+
+    number: Count
+    task: str
+    run: PositiveCount
+    end: RunEnd
+    saved: str | None
+
+
+ReportMessage = message_type(
+    "ReportMessage",
+    {
+        "clockMs": TimeMs,
+        "born": typing.NotRequired[Count],
+        "running": typing.NotRequired[listed(RunRow)],
+        "finished": typing.NotRequired[listed(EndRow)],
+    },
+)
+RefusalMessage = message_type(
+    "RefusalMessage", {"reason": typing.NotRequired[str | None]}
+)
+
+
+class WorkerEntryError(StoredRecordError):
+    """The entry of a worker can't be read, or names no worker that can be called."""
+
+
+class ReportError(ValueError):
+    """The answer of a worker can't be read."""
+
+
+_decode_entry_message = make_json_decoder(EntryMessage, WorkerEntryError)
+_decode_report_message = make_json_decoder(ReportMessage, ReportError)
+_decode_refusal_message = make_json_decoder(RefusalMessage, ReportError)
+
+
 def decode_resources(values):
     """Return the ``Resources`` in fields that count millicores and megabytes."""
     return Resources(
@@ -56,75 +141,61 @@
     )
 
 
-def _decode_labels(labels):
-    if not isinstance(labels, list) or not all(isinstance(n, str) for n in labels):
-        raise TypeError(f"the labels are {labels!r}")
-    return tuple(labels)
-
-
-def _check_entry(entry):
-    """Raise an error if a field is of another type, or the address can't be called."""
-    texts = (entry.host, entry.pool, entry.address, entry.availability_zone)
-    if not all(isinstance(text, str) for text in texts):
-        raise TypeError(f"not a text among {texts}")
-    if not isinstance(entry.born, int):
-        raise TypeError(f"born is {entry.born!r}")
-    split_address(entry.address)
-
-
 def decode_worker_entry(worker_id, value):
-    """Decode the entry of a worker; return ``None`` if it is invalid."""
-    try:
-        values = msgspec.json.decode(value)
-        entry = WorkerEntry(
-            id=worker_id,
-            host=values.get("machine", ""),
-            pool=values["service"],
-            address=values["address"],
-            availability_zone=values["zone"],
-            resources=decode_resources(values["capacity"]),
-            labels=_decode_labels(values.get("labels", [])),
-            phase=WorkerPhase(values["state"]),
-            born=values.get("born", 0),
-            warmup_seconds=values.get("coldRemainingMs", 0) / MS_PER_SECOND,
-        )
-        _check_entry(entry)
-    except (
-        msgspec.DecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as error:
-        logger.warning(
-            "invalid worker entry ignored", worker=worker_id, fault=repr(error)
-        )
-        return None
-    return entry
+    """Decode the entry of a worker into a ``WorkerEntry``.
+
+    Raises ``WorkerEntryError`` when it can't be read, or when its worker can't be
+    called.
+    """
+    values = _decode_entry_message(value)
+    if not is_peer_address(values["address"]):
+        raise WorkerEntryError(f"no worker can be at {values['address']!r}")
+    if WORKER_ID_PATTERN.fullmatch(worker_id) is None:
+        raise WorkerEntryError("no header can hold the id")
+    return WorkerEntry(
+        id=worker_id,
+        host=values.get("machine", ""),
+        pool=values["service"],
+        address=values["address"],
+        availability_zone=values["zone"],
+        resources=decode_resources(values["capacity"]),
+        labels=tuple(values.get("labels", ())),
+        phase=PHASES[values["state"]],
+        born=values.get("born", 0),
+        warmup_seconds=values.get("coldRemainingMs", 0) / MS_PER_SECOND,
+    )
 
 
 def parse_task_id(name):
     """Parse the name of a task, ``JOB.OCCURRENCE.STEP.INDEX``, into a ``TaskId``."""
-    job, occurrence, step, index = name.split(".")
+    match = TASK_NAME_PATTERN.fullmatch(name)
+    if match is None:
+        raise ReportError(f"not the name of a task: {name[:100]!r}")
+    job, occurrence, step, index = match.groups()
     return TaskId(job, int(occurrence), int(step), int(index))
 
 
 def _decode_run(row):
-    task, run, saved, percent, *usage = row
-    measurement = usage[0] if usage else 0
     return ListedRun(
-        parse_task_id(task), run, saved or "", percent / 100.0, measurement
+        parse_task_id(row.task),
+        row.run,
+        row.saved or "",
+        row.percent / 100.0,
+        row.usage,
     )
 
 
 def _decode_end(row):
-    number, task, run, end, saved = row
-    return ListedEnd(number, parse_task_id(task), run, RunEnd(end), saved or "")
+    task = parse_task_id(row.task)
+    return ListedEnd(row.number, task, row.run, row.end, row.saved or "")
 
 
 def decode_report(content):
-    """Decode the answer to ``hold`` into a ``WorkerReport``."""
-    values = msgspec.json.decode(content)
+    """Decode the answer to ``hold`` into a ``WorkerReport``.
+
+    Raises ``ReportError`` when it can't be read.
+    """
+    values = _decode_report_message(content)
     ends = tuple(map(_decode_end, values.get("finished", ())))
     return WorkerReport(
         clock=values["clockMs"] / MS_PER_SECOND,
@@ -135,6 +206,15 @@
     )
 
 
+def decode_refusal(content):
+    """Decode the body of a refusal into a ``Refusal``."""
+    try:
+        reason = _decode_refusal_message(content).get("reason")
+    except ReportError:
+        reason = None
+    return REFUSAL_BY_REASON.get(reason, Refusal.UNKNOWN)
+
+
 class WorkerClient:
     """Client of a worker for one epoch: one connection, one call at a time.
 
@@ -187,11 +267,7 @@
     def _decode_refusal(self, name, status, content):
         reason = Refusal.UNHEALTHY
         if status == http.HTTPStatus.CONFLICT:
-            try:
-                text = msgspec.json.decode(content).get("reason")
-            except (msgspec.DecodeError, AttributeError):
-                text = None
-            reason = REFUSAL_BY_REASON.get(text, Refusal.UNKNOWN)
+            reason = decode_refusal(content)
         elif status == http.HTTPStatus.BAD_REQUEST:
             reason = Refusal.INVALID
         message = f"{name} refused with {status}: {content[:200]!r}"
@@ -227,9 +303,9 @@
         content = await self._call("hold", values, self.order_timeout.longest + wait)
         try:
             return decode_report(content)
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+        except ReportError as error:
             raise WorkerNoResponseError(
-                f"hold: invalid answer: {error!r}", True
+                f"hold: invalid answer: {error}", True
             ) from error
 
     async def start(self, order, lease_end):
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -22,6 +22,7 @@
 from azurelanding.pool_stream import TOPIC
 from azurelanding.start_budget import OVERHEAD_BYTES, order_bytes
 from azurelanding.store import Producer, StoreError, StoreFencedError
+from azurelanding.supervision import keep_running
 from azurelanding.utils import Notifier, boot_time
 from azurelanding.worker_calls import Refusal, StartOrder
 from azurelanding.worker_capacity import free_capacity_by_worker
@@ -117,8 +118,11 @@
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self.appender.run)
             task_group.start_soon(self._follow_stream)
-            task_group.start_soon(self.permits.run)
-            task_group.start_soon(self.pool_links.run_watch)
+            for name, run in (
+                (f"request permits {self.pool}", self.permits.run),
+                (f"watch links {self.pool}", self.pool_links.run_watch),
+            ):
+                task_group.start_soon(keep_running, name, run, self.metrics)
             try:
                 with self.decision_scope:
                     await self._decide_until_lost(task_group)
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -1,11 +1,14 @@
 """Maintain a link from a pool's controller to each worker of the pool."""
 
+import functools
+
 import anyio
 
 from azurelanding import worker_holds, worker_orders
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.lease_permission import LeasePermission
 from azurelanding.link_watch import LinkWatch
+from azurelanding.supervision import keep_running
 from azurelanding.utils import boot_time
 from azurelanding.worker_link import LinkController, WorkerLink
 
@@ -118,12 +121,20 @@
             self.watch.close()
 
     async def _serve(self, link, scope):
+        tasks = {
+            "hold": functools.partial(worker_holds.follow, link),
+            "hold while overdue": functools.partial(
+                worker_holds.follow_while_overdue, link
+            ),
+        }
+        for number, client in enumerate(link.order_clients):
+            send = functools.partial(worker_orders.send_orders, link, client)
+            tasks[f"send orders {number}"] = send
         with scope:
             async with anyio.create_task_group() as task_group:
-                task_group.start_soon(worker_holds.follow, link)
-                task_group.start_soon(worker_holds.follow_while_overdue, link)
-                for client in link.order_clients:
-                    task_group.start_soon(worker_orders.send_orders, link, client)
+                for task, run in tasks.items():
+                    name = f"{task} {link.entry.id}"
+                    task_group.start_soon(keep_running, name, run, self.daemon.metrics)
         with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_SECONDS):
             await link.close()
 
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -1,15 +1,12 @@
 """Read and append the job records of one partition, and maintain their ledger."""
 
-import structlog
-
 from azurelanding.appender import Appender
-from azurelanding.job_records import JobRecordError, decode_key, decode_record
+from azurelanding.job_records import decode_key, decode_record
 from azurelanding.ledger import Ledger
 from azurelanding.store import Producer, stored_records
+from azurelanding.supervision import keep_running
 from azurelanding.topic_follower import TopicFollower
 
-logger = structlog.get_logger()
-
 TOPIC = "jobs"
 LOAD_ORDER = ("work", "job", "cancel", "task", "end", "vacated", "missing")
 """Jobs load before records on them; a repeated job record may have a later offset."""
@@ -18,7 +15,7 @@
 
 
 class LedgerFold:
-    """Decodes stored records and applies them to a ledger; skips unreadable ones."""
+    """Decodes stored records and applies them to a ledger."""
 
     def __init__(self, ledger):
         self.ledger = ledger
@@ -34,14 +31,8 @@
         return rank, record.offset
 
     def apply_stored(self, record):
-        """Apply one ``StoredRecord``."""
-        try:
-            key, decoded = decode_record(record.key, record.value)
-        except JobRecordError as error:
-            logger.warning(
-                "unreadable job record ignored", offset=record.offset, fault=str(error)
-            )
-            return
+        """Apply one ``StoredRecord``; raise ``StoredRecordError`` if it is invalid."""
+        key, decoded = decode_record(record.key, record.value)
         self.ledger.apply(key, decoded, record.offset)
 
 
@@ -52,6 +43,7 @@
     own. ``read_delay(partition)`` returns the seconds between two reads of a partition.
     ``store_answers()`` returns whether the store has answered lately; the requests of
     callers are sent only then, and others refused at once rather than left unknown.
+    ``faults`` are the ``RecordFaults`` of the daemon.
     """
 
     def __init__(
@@ -61,6 +53,7 @@
         producer_name,
         read_delay,
         store_answers=lambda: True,
+        faults=None,
     ):
         self.partition = partition
         self.make_client = make_client
@@ -72,17 +65,22 @@
             LedgerFold(self.ledger),
             lambda: read_delay(partition),
             READ_WAIT_SECONDS,
+            faults,
         )
         producer = Producer(producer_name, 1)
         self.appender = Appender(
             TOPIC, partition, make_client(), producer, may_send=store_answers
         )
 
-    def start(self, task_group):
+    def start(self, task_group, metrics):
         """Start reading the partition and serving appends in ``task_group``."""
-        task_group.start_soon(self.follower.run)
-        task_group.start_soon(self.follower.run_refreshes)
-        task_group.start_soon(self.appender.run)
+        for task, run in (
+            ("read", self.follower.run),
+            ("refresh", self.follower.run_refreshes),
+            ("append", self.appender.run),
+        ):
+            name = f"{task} {TOPIC} {self.partition}"
+            task_group.start_soon(keep_running, name, run, metrics)
 
     def apply_appended(self, records, offset):
         """Apply records that this daemon has just appended, the first at ``offset``."""
--- a/azurelanding/pools/client.py
+++ b/azurelanding/pools/client.py
@@ -2,8 +2,6 @@
 
 import http
 
-import msgspec
-
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.pools import wire
 
@@ -36,7 +34,7 @@
             if status != http.HTTPStatus.OK:
                 raise PoolsError(f"reboot of {host} answered with status {status}")
             return wire.decode_reboot(content).state
-        except (HttpClientError, msgspec.DecodeError) as error:
+        except (HttpClientError, wire.RebootFormatError) as error:
             raise PoolsError(f"reboot of {host} failed: {error}") from error
 
     async def close(self):
--- a/azurelanding/pools/wire.py
+++ b/azurelanding/pools/wire.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from azurelanding.decoding import make_json_decoder
 from azurelanding.pools.reboots import Reboot
 
 
@@ -14,9 +15,11 @@
     return f"/reboots/{host}/{token}"
 
 
-def decode_reboot(content):
-    """Return the ``Reboot`` in ``content``."""
-    return msgspec.json.decode(content, type=Reboot)
+class RebootFormatError(ValueError):
+    """The answer to the request of a reboot can't be read."""
+
+
+decode_reboot = make_json_decoder(Reboot, RebootFormatError)
 
 
 def encode_reboot(reboot):
--- a/azurelanding/settings.py
+++ b/azurelanding/settings.py
@@ -12,7 +12,6 @@
     pools: {address: 127.0.0.1:9003}
 """
 
-import ipaddress
 import math
 import pathlib
 import typing
@@ -22,6 +21,7 @@
 import structlog
 import yaml
 
+from azurelanding.addresses import is_address
 from azurelanding.rules_parser import suggest
 
 logger = structlog.get_logger()
@@ -37,16 +37,6 @@
     raise ValueError(f"{attribute.name}: expected {expected}, got {value!r}")
 
 
-def is_address(text):
-    """Return whether ``text`` is an IP address and a port."""
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return False
-    return port.isascii() and port.isdecimal() and int(port) < 1 << 16
-
-
 def check_address(_instance, attribute, value):
     """Raise ``ValueError`` unless ``value`` is an IP address and a port."""
     if not is_address(value):
@@ -77,16 +67,6 @@
         _raise_invalid(attribute, f"one of {', '.join(LOG_LEVELS)}", value)
 
 
-def split_address(address):
-    """Return the host and port of an address such as ``127.0.0.1:80``.
-
-    >>> split_address("[::1]:80")
-    ('::1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def _seconds_field(default):
     return attrs.field(default=default, validator=check_positive)
 
@@ -283,13 +263,13 @@
     """
     try:
         values = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
         raise SettingsError(f"the settings are not YAML: {error}") from error
     if not isinstance(values, dict):
         raise SettingsError("the settings must be a mapping of names to values")
     try:
         return msgspec.convert(_drop_unknown(values, Settings), Settings)
-    except (msgspec.ValidationError, ValueError) as error:
+    except (ValueError, OverflowError, RecursionError) as error:
         raise SettingsError(_describe_error(error)) from error
 
 
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -18,9 +18,11 @@
 )
 from azurelanding.pool_control import ControlLostError, PoolController
 from azurelanding.pool_stream import TOPIC, PoolStream
+from azurelanding.record_faults import RecordFaults
 from azurelanding.site_state import OperatorFold, WorkersFold
 from azurelanding.start_budget import StartBudget
 from azurelanding.start_permits import StartPermits
+from azurelanding.supervision import Backoff, keep_running
 from azurelanding.topic_follower import TopicFollower
 from azurelanding.utils import boot_time
 
@@ -84,6 +86,8 @@
         rank = reserve_rank(site.link_rate)
         self.name = member_name(site.name, incarnation, rank)
         self.metrics = metrics
+        self.faults = RecordFaults(metrics)
+        self.control_backoffs = {}
         self.start_budget = StartBudget.from_config(site.link_rate, boot_time())
         self.loop_watch = LoopWatch(self.metrics)
         self.registry = WorkerRegistry()
@@ -128,7 +132,9 @@
 
     def _follower(self, topic, fold, interval, wait):
         make_store = self.service_clients.make_store
-        return TopicFollower(topic, 0, make_store, fold, lambda: interval, wait)
+        return TopicFollower(
+            topic, 0, make_store, fold, lambda: interval, wait, self.faults
+        )
 
     def apply(self, site):
         """Apply the timing of changed settings; other changes need a restart."""
@@ -165,9 +171,10 @@
                 self.name,
                 self._read_delay,
                 self._store_answers,
+                self.faults,
             )
             self.streams[partition] = stream
-            stream.start(self.task_group)
+            stream.start(self.task_group, self.metrics)
         return stream
 
     def _partitions_in_use(self):
@@ -342,8 +349,13 @@
                 self.metrics.count("controls_lost")
             except Exception:
                 # A fault in one pool must not stop the service for the others.
-                logger.exception("control of pool failed", pool=controller.pool)
+                backoff = self.control_backoffs.setdefault(controller.pool, Backoff())
+                delay = backoff.next_delay(boot_time())
+                logger.exception(
+                    "control of pool failed", pool=controller.pool, runs_again_in=delay
+                )
                 self.metrics.count("controls_failed")
+                await anyio.sleep(delay)
         if self.controllers.get(controller.pool) is controller:
             del self.controllers[controller.pool], self.scopes[controller.pool]
             partition = controller.stream.partition
@@ -353,19 +365,20 @@
         """Start the daemon's tasks in ``task_group``."""
         self.task_group = task_group
         self.started_at = anyio.current_time()
-        for follower in (
-            self.configuration_follower,
-            self.workers_follower,
-            self.fleet_follower,
-        ):
-            task_group.start_soon(follower.run)
-        task_group.start_soon(self.loop_watch.run)
-        task_group.start_soon(self.member.run)
-        task_group.start_soon(self._follow_configuration)
-        task_group.start_soon(self._follow_assignments)
+        tasks = {
+            "read the configuration": self.configuration_follower.run,
+            "read the workers": self.workers_follower.run,
+            "read the fleet": self.fleet_follower.run,
+            "watch the event loop": self.loop_watch.run,
+            "join the control group": self.member.run,
+            "follow the configuration": self._follow_configuration,
+            "follow the assignments": self._follow_assignments,
+        }
         if self.service_clients.make_hosts is not None:
-            task_group.start_soon(self.fleet_member.run)
-            task_group.start_soon(FleetController.from_config(self).run)
+            tasks["join the fleet group"] = self.fleet_member.run
+            tasks["control the fleet"] = FleetController.from_config(self).run
+        for name, run in tasks.items():
+            task_group.start_soon(keep_running, name, run, self.metrics)
         logger.info("daemon started", name=self.name)
 
     async def leave(self):
--- a/azurelanding/site_report.py
+++ b/azurelanding/site_report.py
@@ -142,14 +142,13 @@
             for task_id, task in job.tasks.items()
             for worker in task.active.values()
         }
-        total = sum(step.count for step in job.job.steps) * job.job.occurrences
         return JobReport(
             job_id,
             job.job.queue,
             job.job.pool,
             job.phase.value,
             sum(job.done.values()),
-            total,
+            job.job.task_count,
             running,
             _wait_reason(state, job, now),
         )
--- a/azurelanding/site_state.py
+++ b/azurelanding/site_state.py
@@ -3,6 +3,7 @@
 import structlog
 
 from azurelanding.configuration import Configuration
+from azurelanding.store import StoredRecordError
 from azurelanding.utils import Notifier, boot_time
 
 logger = structlog.get_logger()
@@ -14,9 +15,9 @@
 class OperatorFold:
     """Holds the newest configuration and the waves by number.
 
-    ``decode(record)`` returns a ``Configuration``, a ``Wave`` or ``None``. ``pools``
-    maps each queue to its last pool, and ``moved_at`` those that have moved to another
-    pool to the ``boot_time`` of that.
+    ``decode(record)`` returns a ``Configuration``, a ``WaveRequest`` or ``None``.
+    ``pools`` maps each queue to its last pool, and ``moved_at`` those that have moved
+    to another pool to the ``boot_time`` of that.
     """
 
     def __init__(self, decode):
@@ -35,7 +36,10 @@
         return record.offset
 
     def apply_stored(self, record):
-        """Apply one ``StoredRecord``; one that can't be decoded changes nothing."""
+        """Apply one ``StoredRecord``; an invalid one raises ``StoredRecordError``.
+
+        What was in force before then stays in force.
+        """
         decoded = self.decode(record)
         if decoded is None:
             return
@@ -70,7 +74,7 @@
 class WorkersFold:
     """Keeps the workers' entries in a ``WorkerRegistry``.
 
-    ``decode(record)`` returns a ``WorkerEntry`` or ``None``.
+    ``decode(record)`` returns a ``WorkerEntry`` or raises ``StoredRecordError``.
     """
 
     def __init__(self, decode, registry):
@@ -86,5 +90,14 @@
         return record.offset
 
     def apply_stored(self, record):
-        """Set or remove the entry of one worker."""
-        self.registry.put(record.key, self.decode(record) if record.value else None)
+        """Set or remove the entry of one worker.
+
+        An entry that can't be read names no worker to use, but doesn't end what runs on
+        a known worker either. Its ``StoredRecordError`` is raised.
+        """
+        try:
+            entry = self.decode(record) if record.value else None
+        except StoredRecordError:
+            self.registry.mark_unreadable(record.key)
+            raise
+        self.registry.put(record.key, entry)
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -52,7 +52,8 @@
     be applied without a response, ``delay_appends`` the number of appends still to be
     delayed until ``StoreModel.release``. If ``unanswered_join_seconds`` is not 0,
     every other join is applied but fails as unanswered after that many seconds. If
-    ``unanswered_owners_seconds`` is not 0, every read of the holders does.
+    ``unanswered_owners_seconds`` is not 0, every read of the holders does. Over HTTP,
+    every call has no effect and is answered with ``odd_answer``, if there is one.
     """
 
     refuse: bool = False
@@ -61,6 +62,7 @@
     delay_appends: int = 0
     unanswered_join_seconds: float = 0.0
     unanswered_owners_seconds: float = 0.0
+    odd_answer: bytes | None = None
 
 
 @attrs.define(eq=False)
@@ -273,6 +275,10 @@
         if self.knobs.refuse:
             await knobs_module.send_json(send, http.HTTPStatus.SERVICE_UNAVAILABLE, {})
             return
+        if self.knobs.odd_answer is not None:
+            answer = self.knobs.odd_answer
+            await http_server.send_reply(send, http.HTTPStatus.OK, (), answer)
+            return
         name = scope["path"].rpartition("/")[2]
         body = await http_server.read_body(receive, MAX_BODY_BYTES)
         if name == "log-append":
--- a/azurelanding/standins/relay.py
+++ b/azurelanding/standins/relay.py
@@ -11,7 +11,7 @@
 import anyio
 import attrs
 
-from azurelanding.settings import split_address
+from azurelanding.addresses import split_address
 from azurelanding.standins import knobs as knobs_module
 
 SILENCE_PATH = "/silence"
--- a/azurelanding/store.py
+++ b/azurelanding/store.py
@@ -39,6 +39,10 @@
         self.first = first
 
 
+class StoredRecordError(ValueError):
+    """A stored record can't be read; others of its topic are not affected."""
+
+
 @attrs.frozen
 class StoredRecord:
     """One keyed record; ``value`` is ``None`` if the key was removed."""
--- a/azurelanding/targets/connections.py
+++ b/azurelanding/targets/connections.py
@@ -5,7 +5,7 @@
 import anyio
 import httpcore
 
-from azurelanding.settings import split_address
+from azurelanding.addresses import is_reachable, split_address
 from azurelanding.targets import wire
 
 KEEP_ALIVE_IDLE_SECONDS = 2
@@ -102,6 +102,8 @@
 
         Raises ``TargetError`` when the connection fails or times out.
         """
+        if not is_reachable(host.address):
+            raise TargetError(f"no executor can be at {host.address!r}")
         address, port = split_address(host.address)
         origin = httpcore.Origin(b"http", address.encode(), port)
         try:
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -18,6 +18,7 @@
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.standins.platform_worker import WorkerFleet, WorkerModel
 from azurelanding.tasks import Resources
+from azurelanding.utils import boot_time
 from azurelanding.worker_link import LinkController, WorkerLink
 
 LEASE_SECONDS = 1.0
@@ -62,12 +63,16 @@
     """Simulates the platform's host list and host orders; it checks no epochs.
 
     ``orders`` records each order as host, wave or pool, epoch and the number of runs
-    on the host's worker. With ``is_busy`` every move is refused.
+    on the host's worker, ``order_times`` the ``boot_time`` of each. A maintenance that
+    was carried out before is accepted again, without effect, as by the platform. With
+    ``is_busy`` every move is refused.
     """
 
     def __init__(self, fleet):
         self.fleet = fleet
         self.orders = []
+        self.order_times = []
+        self.maintained = set()
         self.is_busy = False
         self.pools = {}
 
@@ -88,10 +93,14 @@
         if wave is None:
             raise HostBusyError("no such wave")
         self.orders.append((host, wave, epoch, len(model.running)))
-        model.restart()
+        self.order_times.append(boot_time())
+        if (host, wave) not in self.maintained:
+            self.maintained.add((host, wave))
+            model.restart()
 
     async def move(self, host, pool, epoch):
         self.orders.append((host, pool, epoch, 0))
+        self.order_times.append(boot_time())
         if self.is_busy:
             raise HostBusyError("leaving")
         self.pools[host.removeprefix("host-")] = pool
--- a/azurelanding/tests/test_callers.py
+++ b/azurelanding/tests/test_callers.py
@@ -5,12 +5,13 @@
 import testtools
 
 from azurelanding import requests, rules
+from azurelanding.addresses import split_address
 from azurelanding.callers.app import CallersState, make_app
 from azurelanding.callers.protocol import make_protocol
 from azurelanding.callers.wire import end_to_end_headers
 from azurelanding.http_server import HttpServer
 from azurelanding.metrics import Metrics
-from azurelanding.settings import CallersSettings, split_address
+from azurelanding.settings import CallersSettings
 
 SETTINGS = CallersSettings(
     address="127.0.0.1:0", max_header=2000, header_timeout=0.2, body_timeout=0.2
--- a/azurelanding/tests/test_configuration.py
+++ b/azurelanding/tests/test_configuration.py
@@ -6,12 +6,14 @@
 import testtools
 
 from azurelanding import pacing, records
+from azurelanding.addresses import split_address
 from azurelanding.entries.members import Members
 from azurelanding.entries.server import PeerServer
 from azurelanding.entries.wire import Status
 from azurelanding.log_service import follower as follower_module
 from azurelanding.log_service import snapshots, wire
-from azurelanding.settings import EntriesSettings, LogServiceSettings, split_address
+from azurelanding.metrics import Metrics
+from azurelanding.settings import EntriesSettings, LogServiceSettings
 from azurelanding.standins.site import free_ports
 from azurelanding.tests.fake_log import FakeLog
 
@@ -43,7 +45,7 @@
     async def start(self, task_group):
         """Start following the log and the peers."""
         await self.server.start(task_group)
-        self.members.start(task_group)
+        self.members.start(task_group, Metrics(None))
         task_group.start_soon(self.follower.run)
 
     async def until(self, condition):
--- a/azurelanding/tests/test_fuzz.py
+++ b/azurelanding/tests/test_fuzz.py
@@ -10,7 +10,7 @@
 import testtools
 from hypothesis import strategies
 
-from azurelanding import fleet, records, rules_parser, settings
+from azurelanding import addresses, fleet, records, rules_parser, settings
 from azurelanding.entries import wire as entries_wire
 from azurelanding.entries.server import PeerServer
 from azurelanding.host_list import wire as host_list_wire
@@ -132,10 +132,13 @@
     @fixed
     @hypothesis.given(strategies.binary())
     def test_answers_of_the_platform(self, content):
-        for decode in (log_wire.decode_batch, host_list_wire.decode_listing):
+        for decode, error_class in (
+            (log_wire.decode_batch, log_wire.RecordFormatError),
+            (host_list_wire.decode_listing, host_list_wire.ListingFormatError),
+        ):
             try:
                 decode(content)
-            except msgspec.DecodeError as error:
+            except error_class as error:
                 self.assertTrue(str(error))
 
     @fixed
@@ -182,7 +185,7 @@
         async with capnp.kj_loop(), anyio.create_task_group() as task_group:
             await server.start(task_group)
             for _ in range(3):
-                host, port = settings.split_address(address)
+                host, port = addresses.split_address(address)
                 async with await anyio.connect_tcp(host, port) as stream:
                     await stream.send(b"\xff" * 64)
             await server.close()
--- a/azurelanding/tests/test_job_service.py
+++ b/azurelanding/tests/test_job_service.py
@@ -73,7 +73,7 @@
                 ServedMetrics(),
             )
             async with anyio.create_task_group() as task_group:
-                stream.start(task_group)
+                stream.start(task_group, ServedMetrics())
                 with anyio.fail_after(3.0):
                     await scenario(service, stream)
                 task_group.cancel_scope.cancel()
--- a/azurelanding/tests/test_leaving.py
+++ b/azurelanding/tests/test_leaving.py
@@ -5,6 +5,7 @@
 import capnp
 import testtools
 
+from azurelanding.addresses import split_address
 from azurelanding.admission import Queues, Ticket
 from azurelanding.entry import EntryDaemon
 from azurelanding.fleet import FleetState, HostState
@@ -12,7 +13,7 @@
 from azurelanding.requests import Request
 from azurelanding.routing import usable_targets
 from azurelanding.rules_parser import read_rules
-from azurelanding.settings import parse_settings, split_address
+from azurelanding.settings import parse_settings
 from azurelanding.standins.site import free_ports
 from azurelanding.targets.slots import Slot, serve_slot
 
--- a/azurelanding/tests/test_ledger.py
+++ b/azurelanding/tests/test_ledger.py
@@ -18,8 +18,10 @@
     submission_records,
 )
 from azurelanding.pool_stream import LedgerFold
-from azurelanding.store import StoredRecord
+from azurelanding.record_faults import RecordFaults
+from azurelanding.store import StoredRecord, StoredRecordError
 from azurelanding.tests.platform_world import make_job, make_step
+from azurelanding.topic_follower import TopicFollower
 
 JOB = make_job("a" * 16, (make_step(2),), max_attempts=2)
 FIRST = TaskId(JOB.id, 0, 0, 0)
@@ -111,7 +113,23 @@
 
     def test_unreadable_record_is_skipped(self):
         ledger_fold = LedgerFold(Ledger())
-        ledger_fold.apply_stored(StoredRecord("job/x", b"\xff{", 0))
-        ledger_fold.apply_stored(StoredRecord("surprise", b"{}", 1))
-        ledger_fold.apply_stored(StoredRecord(*encode_record(JobSubmitted(JOB)), 2))
+        faults = RecordFaults()
+        follower = TopicFollower("jobs", 0, list, ledger_fold, None, 0.0, faults)
+        follower.apply(
+            [
+                StoredRecord("job/x", b"\xff{", 0),
+                StoredRecord("surprise", b"{}", 1),
+                StoredRecord(*encode_record(JobSubmitted(JOB)), 2),
+            ]
+        )
         self.assertEqual([JOB.id], list(ledger_fold.ledger.jobs))
+        self.assertEqual({("jobs", "job/x"), ("jobs", "surprise")}, faults.known)
+
+    def test_record_of_a_task_that_its_job_does_not_have_changes_nothing(self):
+        ledger = fold(Ledger(), *submission_records(JOB))
+        for name in ("1.0.0", "0.99.0", "0.0.99999", "0.-1.0"):
+            text = f"task/{JOB.id}.{name}"
+            key, record = decode_record(text, b'{"last_run":1,"active":{"1":"w"}}')
+            with testtools.ExpectedException(StoredRecordError):
+                ledger.apply(key, record, 9)
+        self.assertEqual(({}, {}), (ledger.placed, ledger.active[JOB.id].tasks))
--- a/azurelanding/tests/test_platform_wire.py
+++ b/azurelanding/tests/test_platform_wire.py
@@ -6,8 +6,12 @@
 from azurelanding.fleet_workers import HostPhase, WorkerPhase
 from azurelanding.jobs import RunEnd, TaskId
 from azurelanding.platform import callers, hosts, operator, settings, store, workers
+from azurelanding.platform.main import decode_operator_record
 from azurelanding.settings import SettingsError
+from azurelanding.site_state import OperatorFold
+from azurelanding.store import StoredRecord
 from azurelanding.tests.platform_world import make_queue
+from azurelanding.topic_follower import TopicFollower
 
 ENTRY = {
     "service": "cuts",
@@ -102,7 +106,8 @@
             encode(ENTRY, labels=[1]),
         ]
         for value in invalid:
-            self.assertIsNone(workers.decode_worker_entry("i-1", value), value)
+            with testtools.ExpectedException(workers.WorkerEntryError):
+                workers.decode_worker_entry("i-1", value)
 
     def test_report_is_decoded(self):
         values = {
@@ -130,12 +135,15 @@
 
     def test_row_is_decoded(self):
         row = {"machine": "m", "pool": "p", "state": "upkeep", "id": None}
-        host = hosts.decode_host(row)
+        host = hosts.decode_host(msgspec.json.encode(row))
         self.assertEqual((HostPhase.MAINTENANCE, ""), (host.phase, host.worker))
 
     def test_invalid_row_is_ignored(self):
-        self.assertIsNone(hosts.decode_host({"machine": "m", "pool": "p"}))
-        self.assertIsNone(hosts.decode_host(None))
+        sound = {"machine": "m", "pool": "p", "state": "up"}
+        rows = [{"machine": "m", "pool": "p"}, None, sound]
+        read, fault = hosts.decode_hosts(map(msgspec.json.encode, rows))
+        self.assertEqual(["m"], list(read))
+        self.assertIn("state", fault)
 
 
 class OperatorTest(testtools.TestCase):
@@ -162,8 +170,17 @@
         self.assertEqual("s", decoded.find_queue("h.example", "/p/q/1").name)
 
     def test_invalid_records_are_ignored(self):
-        self.assertIsNone(operator.decode_configuration(b"{}"))
-        self.assertIsNone(operator.decode_wave("wave/1", b'{"wave": 1}'))
+        fold = OperatorFold(decode_operator_record)
+        follower = TopicFollower("operator", 0, list, fold, None, 0.0)
+        sound = {"version": 1, "routes": [ROUTE], "services": []}
+        for key, value in (
+            ("config", encode(sound)),
+            ("config", b"{}"),
+            ("wave/1", b'{"wave": 1}'),
+        ):
+            follower.apply([StoredRecord(key, value, 0)])
+        self.assertEqual(1, fold.configuration.version)
+        self.assertEqual({}, fold.waves)
 
 
 class StoreRecordsTest(testtools.TestCase):
--- a/azurelanding/tests/test_site.py
+++ b/azurelanding/tests/test_site.py
@@ -7,9 +7,9 @@
 import testtools
 
 from azurelanding import records
+from azurelanding.addresses import split_address
 from azurelanding.http_client import HttpClient
 from azurelanding.operators.client import OperatorsClient
-from azurelanding.settings import split_address
 from azurelanding.standins.site import LocalSite, SiteConfig, SiteError
 
 RULES = """
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -4,6 +4,7 @@
 import attrs
 import structlog
 
+from azurelanding.record_faults import RecordFaults
 from azurelanding.store import (
     OffsetOutOfRangeError,
     StoreError,
@@ -104,10 +105,12 @@
     ``answered_at`` when the store last answered.
     ``loads`` holds the loads under way; ``paused_load`` is one of them that has lost a
     page, and which the next attempt continues. ``pending_refreshes`` are the callers
-    that wait for the next refresh.
+    that wait for the next refresh. ``faults`` are the ``RecordFaults`` of the daemon.
     """
 
-    def __init__(self, topic, partition, make_client, fold, read_delay, max_wait):
+    def __init__(
+        self, topic, partition, make_client, fold, read_delay, max_wait, faults=None
+    ):
         self.topic = topic
         self.partition = partition
         self.reader = make_client()
@@ -115,6 +118,7 @@
         self.fold = fold
         self.read_delay = read_delay
         self.max_wait = max_wait
+        self.faults = faults or RecordFaults()
         self.next_offset = None
         self.caught_up_at = -1.0
         self.answered_at = -1.0
@@ -136,11 +140,14 @@
     def apply(self, records):
         """Apply records that were read, or that this daemon has just stored."""
         for record in records:
-            self.fold.apply_stored(record)
+            self._apply_record(record)
         for load in self.loads:
             load.changes.extend(records)
         self.changes.notify()
 
+    def _apply_record(self, record):
+        self.faults.apply(self.topic, record, self.fold.apply_stored)
+
     def _begin_or_continue_load(self):
         load, self.paused_load = self.paused_load, None
         if load is None:
@@ -189,7 +196,7 @@
             self.paused_load = None
         self.fold.clear()
         for record in sorted(load.newest(), key=self.fold.load_order):
-            self.fold.apply_stored(record)
+            self._apply_record(record)
         self.next_offset = max(load.next_offset, self.next_offset or 0)
         self.caught_up_at = max(self.caught_up_at, load.caught_up_at)
         logger.info(
--- a/azurelanding/units.py
+++ b/azurelanding/units.py
@@ -15,7 +15,9 @@
     "w": 604_800.0,
 }
 BYTES_PER_UNIT = {"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30}
-QUANTITY_PATTERN = re.compile(r"(\d+(?:\.\d+)?)([a-zA-Z]+)")
+QUANTITY_PATTERN = re.compile(r"(\d{1,15}(?:\.\d{1,15})?)([a-zA-Z]+)", re.ASCII)
+"""No quantity that is of use has more digits, and none of these is too large."""
+MAX_COUNT_DIGITS = 15
 
 
 class UnitError(ValueError):
@@ -56,12 +58,14 @@
     """Return the whole number, 0 or more, in ``text``."""
     if not text.isascii() or not text.isdecimal():
         raise UnitError("expected a whole number")
+    if len(text) > MAX_COUNT_DIGITS:
+        raise UnitError(f"expected a number of at most {MAX_COUNT_DIGITS} digits")
     return int(text)
 
 
 def read_number(text):
     """Return the finite number, 0 or more, in ``text``, such as ``0.5``."""
-    if not re.fullmatch(r"\d+(\.\d+)?", text, re.ASCII):
+    if not re.fullmatch(r"\d{1,15}(\.\d{1,15})?", text, re.ASCII):
         raise UnitError("expected a number")
     return float(text)
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -99,7 +99,8 @@
     - ``not_started`` are the runs that certainly never started, each with its refusal,
       and ``lost_runs`` those that the worker no longer lists.
     - ``stops`` maps the runs that were ordered to stop to the ``boot_time`` of the
-      order, and ``orders`` are the orders not yet sent.
+      order, and ``orders`` are the orders not yet sent. ``in_hand`` holds by client
+      the order that it is sending.
     - ``paces`` maps the filler runs to the share of their pace that was last ordered,
       ``None`` if it is not known whether the worker has received it.
     - ``clock`` is the time of the worker's clock in the last report, with the
@@ -144,6 +145,7 @@
         self.stops = {}
         self.paces = {}
         self.orders = OrderQueue(controller.watch.observe_order_wait)
+        self.in_hand = {}
         self.order_added = Notifier()
         self.ends_recorded = Notifier()
         self.has_answered = False
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -43,19 +43,29 @@
 
 
 async def send_orders(link, client):
-    """Send orders over one connection until the worker has ended."""
+    """Send orders over one connection until the worker has ended.
+
+    It may be run again after an unexpected error, and goes on with the order that it
+    was sending then.
+    """
     while not (link.has_ended or link.is_fenced):
-        await link.order_added.wait_until(lambda: bool(link.orders))
-        if not link.orders:
-            continue
-        order = link.orders.popleft()
-        match order:
-            case StartOrder():
-                await start(link, client, order)
-            case StopOrder():
-                await stop(link, client, order.task, order.run)
-            case PaceOrder():
-                await _pace(link, client, order)
+        if client not in link.in_hand:
+            await link.order_added.wait_until(lambda: bool(link.orders))
+            if not link.orders:
+                continue
+            link.in_hand[client] = link.orders.popleft()
+        await _send_order(link, client, link.in_hand[client])
+        del link.in_hand[client]
+
+
+async def _send_order(link, client, order):
+    match order:
+        case StartOrder():
+            await start(link, client, order)
+        case StopOrder():
+            await stop(link, client, order.task, order.run)
+        case PaceOrder():
+            await _pace(link, client, order)
 
 
 async def _call_until_answered(link, name, call, *arguments):
@@ -131,7 +141,8 @@
 
 async def start(link, client, order):
     """Start a run; afterwards the worker has it or certainly never will."""
-    key, may_have_started, refusal = (order.task, order.run), False, None
+    key, refusal = (order.task, order.run), None
+    may_have_started = key in link.unanswered_starts
     taken_at, attempt, delays = boot_time(), 0, retry_delays()
     is_counted = False
     while (
--- a/azurelanding/workers/client.py
+++ b/azurelanding/workers/client.py
@@ -2,8 +2,6 @@
 
 import http
 
-import msgspec
-
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.workers import wire
 
@@ -44,7 +42,7 @@
                     f"{client.address} answered {path} with status {status}"
                 )
             return wire.decode_report(content)
-        except (HttpClientError, msgspec.DecodeError) as error:
+        except (HttpClientError, wire.ReportFormatError) as error:
             raise WorkerError(
                 f"request {path} to {client.address} failed: {error}"
             ) from error
--- a/azurelanding/workers/wire.py
+++ b/azurelanding/workers/wire.py
@@ -15,6 +15,7 @@
 import attrs
 import msgspec
 
+from azurelanding.decoding import make_json_decoder
 from azurelanding.tasks import Resources
 
 REPORT_PATH = "/v1/report"
@@ -144,19 +145,18 @@
 _ReportRow = tuple[str, int, bool, list[_AttemptRow]]
 
 
-def encode(value):
-    """Return ``value``, an instance of ``ReportRequest`` or ``Orders``, as JSON."""
-    return msgspec.json.encode(value)
+class ReportFormatError(ValueError):
+    """A message of a worker, or to the stand-in of one, can't be read."""
 
 
-def decode_report_request(content):
-    """Return the ``ReportRequest`` in ``content``, for the stand-in."""
-    return msgspec.json.decode(content, type=ReportRequest)
+_decode_report_row = make_json_decoder(_ReportRow, ReportFormatError)
+decode_report_request = make_json_decoder(ReportRequest, ReportFormatError)
+decode_orders = make_json_decoder(Orders, ReportFormatError)
 
 
-def decode_orders(content):
-    """Return the ``Orders`` in ``content``, for the stand-in."""
-    return msgspec.json.decode(content, type=Orders)
+def encode(value):
+    """Return ``value``, an instance of ``ReportRequest`` or ``Orders``, as JSON."""
+    return msgspec.json.encode(value)
 
 
 def encode_report(report):
@@ -167,6 +167,6 @@
 
 def decode_report(content):
     """Return the ``Report`` in ``content``."""
-    incarnation, version, whole, rows = msgspec.json.decode(content, type=_ReportRow)
+    incarnation, version, whole, rows = _decode_report_row(content)
     attempts = tuple(Attempt(*row) for row in rows)
     return Report(incarnation, version, whole, attempts)
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -11,8 +11,8 @@
 import anyio
 
 from azurelanding import records
+from azurelanding.addresses import split_address
 from azurelanding.operators.client import OperatorsClient
-from azurelanding.settings import split_address
 from azurelanding.standins.site import LOOPBACK, LocalSite, SiteConfig, free_ports
 
 RULES = """
--- a/bench/pass_through.py
+++ b/bench/pass_through.py
@@ -13,8 +13,8 @@
 import defopt
 import httpcore
 
+from azurelanding.addresses import split_address
 from azurelanding.http_server import HttpServer, read_body
-from azurelanding.settings import split_address
 
 CONNECTIONS_PER_EXECUTOR = 8
 MAX_BODY_BYTES = 1 << 20
--- a/bench/silence.py
+++ b/bench/silence.py
@@ -14,9 +14,9 @@
 import attrs
 import httpcore
 
+from azurelanding.addresses import split_address
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.requests import Outcome
-from azurelanding.settings import split_address
 from azurelanding.standins.site import LocalSite, SiteConfig
 from bench import history_driver
 
