A daemon that decides nothing reads less often and folds only what is asked for

Cause: 92 of 97 daemons on the large site control no pool, yet each decoded and folded every record of every pool and every entry of a worker, at each heartbeat, and made some 20 calls a second to the store.

Change: the newest record of each key of a pool's stream is kept unread, by job, until a caller asks for the job or a controller needs the ledger (`DeferredLedger`); entries of workers likewise until the registry is needed. What a daemon decides nothing by is read every 1.6 s (0.8 for pools, 0.4 for workers, 0.1 for the fleet), and sooner at once when it takes control; a daemon outside a group looks at its holders every 0.9 s (0.3 and 0.6). A question for a job reads to the end of its stream as before. The settings of the plain product, with YAML and rules, are no longer imported. A job's record is dropped before its end: one read without the other was a job that goes on.

Ruled out: not reading the streams until asked; a takeover would then load all of them over a thin link first.

--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -114,7 +114,8 @@
             for task_id in self.ledger.active[job_id].tasks:
                 yield encode_drop(("task", str(task_id)))
         for job_id in self.dropped_jobs:
-            for kind in ("cancel", "end", "job"):
+            # A reader that has not read the rest yet must not find a job that goes on.
+            for kind in ("job", "cancel", "end"):
                 yield encode_drop((kind, job_id))
         # A submission that is repeated after the end stores the work again.
         for job_id in (*self.ended, *self.dropped_jobs):
--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -52,7 +52,7 @@
     def _find(self, job_id):
         """Return the stream and state of a job as read so far, or two ``None``."""
         for stream in self.streams():
-            state = stream.ledger.jobs.get(job_id)
+            state = stream.find(job_id)
             if state is not None:
                 return stream, state
         return None, None
@@ -68,8 +68,9 @@
         stream = self.stream_of(pool)
         try:
             await stream.follower.refresh_within(deadline - time.monotonic())
-            if job_id in stream.ledger.jobs:
-                return stream, stream.ledger.jobs[job_id]
+            state = stream.find(job_id)
+            if state is not None:
+                return stream, state
             for other in self.streams_of_all_pools():
                 if other is not stream:
                     await other.follower.refresh_within(deadline - time.monotonic())
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -214,9 +214,12 @@
             self.unstarted[state.job.queue].add(state.job.id)
 
     def _remove(self, job_id):
-        """Remove a job from those that are active."""
+        """Remove a job and its runs from those that are active."""
         state = self.active.pop(job_id, None)
         if state is not None:
+            pool = self.pools[state.job.pool]
+            for task_id, task in state.tasks.items():
+                self._index_runs(pool, task_id, task, -1)
             self.pools[state.job.pool].remove(job_id)
             self.unstarted[state.job.queue].discard(job_id)
 
@@ -256,9 +259,6 @@
         if state.outcome is not None:
             return
         state.outcome, state.ended_at = record.outcome, record.at
-        pool = self.pools[state.job.pool]
-        for task_id, task in state.tasks.items():
-            self._index_runs(pool, task_id, task, -1)
         self._remove(record.job)
         state.drop_tasks()
         state.job = attrs.evolve(state.job, spec="", steps=())
--- a/azurelanding/membership.py
+++ b/azurelanding/membership.py
@@ -31,8 +31,9 @@
 MAX_JOIN_DELAY_SECONDS = 0.3
 """Longest random delay of a daemon that joins because a role has no holder. A join
 takes a hundredth of it, so two daemons rarely join at the same time."""
-RESERVE_INTERVAL_SECONDS = 0.6
-"""Interval between two looks of a reserve at the holders of a group."""
+RESERVE_INTERVAL_SECONDS = 0.9
+"""Interval between two looks at the holders of a group by a daemon that is not in it.
+The looks of many daemons together are much more frequent."""
 RESERVE_DELAY_SECONDS = 0.5
 """How long nobody must hold anything before a reserve of rank 1 joins, so that daemons
 of a lower rank which start at the same time join first. A rank multiplies it."""
@@ -183,9 +184,10 @@
                 await self._join()
             except StoreError as error:
                 logger.info("join failed", group=self.group, reason=str(error))
-            waits_in_reserve = self.rank and not self.has_joined
+            may_wait = self.rank or self.sole_partition is not None
+            is_outside = may_wait and not self.has_joined
             await anyio.sleep(
-                RESERVE_INTERVAL_SECONDS if waits_in_reserve else JOIN_INTERVAL_SECONDS
+                RESERVE_INTERVAL_SECONDS if is_outside else JOIN_INTERVAL_SECONDS
             )
 
     async def _remove_earlier_incarnations(self):
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -18,7 +18,7 @@
 from azurelanding.platform.traffic import count_received
 from azurelanding.platform.workers import WorkerClient, decode_worker_entry
 from azurelanding.served_metrics import ServedMetrics
-from azurelanding.settings import SettingsError
+from azurelanding.site import SettingsError
 from azurelanding.site_daemon import ServiceClients, SiteDaemon
 
 logger = structlog.get_logger()
--- a/azurelanding/platform/settings.py
+++ b/azurelanding/platform/settings.py
@@ -14,8 +14,7 @@
     make_json_decoder,
     message_type,
 )
-from azurelanding.settings import SettingsError
-from azurelanding.site import Site, StoreSettings, Timing
+from azurelanding.site import SettingsError, Site, StoreSettings, Timing
 
 SETTINGS_PATH_VARIABLE = "AZURELANDING_BOOT"
 MS_PER_SECOND = 1000.0
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -1,8 +1,12 @@
 """Read and append the job records of one partition, and maintain their ledger."""
 
+import contextlib
+
 from azurelanding.appender import Appender
+from azurelanding.deferred_ledger import DeferredLedger
 from azurelanding.job_records import decode_key, decode_record
 from azurelanding.ledger import Ledger
+from azurelanding.record_faults import RecordFaults
 from azurelanding.store import Producer, stored_records
 from azurelanding.supervision import keep_running
 from azurelanding.topic_follower import TopicFollower
@@ -57,12 +61,13 @@
     ):
         self.partition = partition
         self.make_client = make_client
-        self.ledger = Ledger()
+        faults = faults or RecordFaults()
+        self.deferred = DeferredLedger(TOPIC, LedgerFold(Ledger()), faults)
         self.follower = TopicFollower(
             TOPIC,
             partition,
             make_client,
-            LedgerFold(self.ledger),
+            self.deferred,
             lambda: read_delay(partition),
             READ_WAIT_SECONDS,
             faults,
@@ -72,6 +77,24 @@
             TOPIC, partition, make_client(), producer, may_send=store_answers
         )
 
+    @property
+    def ledger(self):
+        """Return the ledger with all records read so far."""
+        return self.deferred.whole()
+
+    def find(self, job_id):
+        """Return the ``JobState`` of a job as read so far, or ``None``."""
+        return self.deferred.find(job_id)
+
+    @contextlib.contextmanager
+    def held(self):
+        """Keep the ledger up to date with each record that is read."""
+        self.deferred.hold()
+        try:
+            yield
+        finally:
+            self.deferred.release()
+
     def start(self, task_group, metrics):
         """Start reading the partition and serving appends in ``task_group``."""
         for task, run in (
--- a/azurelanding/record_faults.py
+++ b/azurelanding/record_faults.py
@@ -7,6 +7,8 @@
 
 logger = structlog.get_logger()
 
+KEPT = object()
+"""Returned for a record that is kept to be read once it is needed."""
 MAX_KNOWN_FAULTS = 1000
 """Number of records that are remembered as faulty; further ones are only counted."""
 
@@ -24,10 +26,13 @@
         self.known = set()
 
     def apply(self, topic, record, apply_stored):
-        """Call ``apply_stored(record)``; a fault of the record costs no other one."""
+        """Call ``apply_stored(record)``; a fault of the record costs no other one.
+
+        It returns ``KEPT`` for a record that it has not read yet.
+        """
         fields = {"topic": topic, "key": record.key, "offset": record.offset}
         try:
-            apply_stored(record)
+            result = apply_stored(record)
         except StoredRecordError as error:
             self.metrics.count(f"records_invalid_{topic}")
             if self._is_new(topic, record.key):
@@ -37,7 +42,8 @@
             if self._is_new(topic, record.key):
                 logger.exception("record could not be applied", **fields)
         else:
-            self.known.discard((topic, record.key))
+            if result is not KEPT:
+                self.known.discard((topic, record.key))
 
     def _is_new(self, topic, key):
         if (topic, key) in self.known or len(self.known) >= MAX_KNOWN_FAULTS:
--- a/azurelanding/settings.py
+++ b/azurelanding/settings.py
@@ -23,16 +23,13 @@
 
 from azurelanding.addresses import is_address
 from azurelanding.rules_parser import suggest
+from azurelanding.site import SettingsError
 
 logger = structlog.get_logger()
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
-class SettingsError(Exception):
-    """Settings are invalid; the message names the setting and the problem."""
-
-
 def _raise_invalid(attribute, expected, value):
     raise ValueError(f"{attribute.name}: expected {expected}, got {value!r}")
 
--- a/azurelanding/site.py
+++ b/azurelanding/site.py
@@ -3,6 +3,10 @@
 import attrs
 
 
+class SettingsError(Exception):
+    """Settings are invalid; the message names the setting and the problem."""
+
+
 @attrs.frozen
 class StoreSettings:
     """The address of the platform's store and its limits.
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -34,8 +34,9 @@
 configuration within two seconds."""
 WORKERS_INTERVAL_SECONDS = 0.4
 """Interval between reads of the workers' entries, which each heartbeat changes."""
-WATCH_INTERVAL_SECONDS = 0.8
-"""Interval between reads of the stream of a pool that this daemon doesn't control."""
+WATCH_INTERVAL_SECONDS = 1.6
+"""Interval between reads of what this daemon decides nothing by. A question for a job
+reads the stream to its end; the number of waiting jobs may be two seconds old."""
 CONTROL_INTERVAL_SECONDS = 0.02
 """Interval between reads of a stream that this daemon controls; batches records that
 arrive close together."""
@@ -90,7 +91,12 @@
         self.control_backoffs = {}
         self.start_budget = StartBudget.from_config(site.link_rate, boot_time())
         self.loop_watch = LoopWatch(self.metrics)
-        self.registry = WorkerRegistry()
+        self.workers_fold = WorkersFold(
+            service_clients.workers_topic,
+            service_clients.decode_worker,
+            WorkerRegistry(),
+            self.faults,
+        )
         self.operator = OperatorFold(service_clients.decode_operator)
         self.fleet = FleetFold()
         self.streams = {}
@@ -122,7 +128,7 @@
         )
         self.workers_follower = self._follower(
             service_clients.workers_topic,
-            WorkersFold(service_clients.decode_worker, self.registry),
+            self.workers_fold,
             WORKERS_INTERVAL_SECONDS,
             CONFIGURATION_WAIT_SECONDS,
         )
@@ -131,10 +137,24 @@
         )
 
     def _follower(self, topic, fold, interval, wait):
+        """Return a follower that reads less often while this daemon decides nothing."""
+
+        def read_delay():
+            is_prompt = not interval or self._decides()
+            return interval if is_prompt else WATCH_INTERVAL_SECONDS
+
         make_store = self.service_clients.make_store
-        return TopicFollower(
-            topic, 0, make_store, fold, lambda: interval, wait, self.faults
-        )
+        return TopicFollower(topic, 0, make_store, fold, read_delay, wait, self.faults)
+
+    def _decides(self):
+        """Return whether this daemon controls a pool or the fleet, or soon will."""
+        is_fleet_holder = self.fleet_member.epoch_of(FLEET_TOPIC, 0) is not None
+        return is_fleet_holder or bool(self.member.holdings or self.controllers)
+
+    @property
+    def registry(self):
+        """Return the ``WorkerRegistry`` with all entries read so far."""
+        return self.workers_fold.whole()
 
     def apply(self, site):
         """Apply the timing of changed settings; other changes need a restart."""
@@ -184,7 +204,7 @@
         return {partition_of(pool, self.site.store.partitions) for pool in pools}
 
     def _read_delay(self, partition):
-        is_active = bool(self.streams[partition].ledger.active)
+        is_active = self.streams[partition].deferred.has_active_jobs()
         if not is_active and partition not in self._partitions_in_use():
             return IDLE_INTERVAL_SECONDS
         if self.member.epoch_of(TOPIC, partition) is not None:
@@ -199,6 +219,7 @@
             self.configuration_follower,
             self.workers_follower,
             self.fleet_follower,
+            *(stream.follower for stream in self.streams.values()),
         )
         answers = (follower.answered_at for follower in followers)
         silent_since = max(self.started_at, *answers)
@@ -230,8 +251,8 @@
     def has_unavailability_limit(self, task_id):
         """Return whether the step of a task limits its unavailable tasks."""
         for stream in self.streams.values():
-            state = stream.ledger.active.get(task_id.job)
-            if state is not None and not state.is_over:
+            state = stream.find(task_id.job)
+            if state is not None and state.job.steps and not state.is_over:
                 step = state.job.steps[task_id.step]
                 return step.long_running and step.may_miss > 0
         return False
@@ -299,8 +320,9 @@
         if configuration is None or self.is_stopping:
             return {}
         pools = set(configuration.pools_in_use())
-        for stream in self.streams.values():
-            pools |= stream.ledger.pools_with_jobs()
+        for partition in self.member.held_partitions(TOPIC):
+            if partition in self.streams:
+                pools |= self.streams[partition].ledger.pools_with_jobs()
         assigned = {}
         for pool in pools:
             partition = partition_of(pool, self.site.store.partitions)
@@ -339,7 +361,13 @@
                 self.task_group.start_soon(self._control, controller, scope)
 
     async def _control(self, controller, scope):
-        with scope:
+        with scope, controller.stream.held():
+            for follower in (
+                controller.stream.follower,
+                self.workers_follower,
+                self.fleet_follower,
+            ):
+                follower.hurry()
             try:
                 await controller.run()
             except ControlLostError as error:
--- a/azurelanding/site_report.py
+++ b/azurelanding/site_report.py
@@ -9,6 +9,7 @@
 from azurelanding.job_placement import ready_steps
 from azurelanding.ledger import Ledger
 from azurelanding.membership import CONTROL_GROUP, FLEET_GROUP, partition_of
+from azurelanding.record_faults import RecordFaults
 from azurelanding.site_state import OperatorFold, WorkersFold
 from azurelanding.topic_follower import TopicFollower
 
@@ -70,9 +71,12 @@
     """
     operator = OperatorFold(service_clients.decode_operator)
     fleet, registry = FleetFold(), WorkerRegistry()
-    workers = WorkersFold(service_clients.decode_worker, registry)
+    topic = service_clients.workers_topic
+    workers = WorkersFold(
+        topic, service_clients.decode_worker, registry, RecordFaults()
+    )
     await _load(service_clients.operator_topic, 0, service_clients.make_store, operator)
-    await _load(service_clients.workers_topic, 0, service_clients.make_store, workers)
+    await _load(topic, 0, service_clients.make_store, workers)
     await _load(FLEET_TOPIC, 0, service_clients.make_store, fleet)
     ledgers = {}
     for partition in range(site.store.partitions):
@@ -86,7 +90,7 @@
     finally:
         await client.close()
     return SiteState(
-        operator.configuration, operator.waves, fleet, registry, ledgers, owners
+        operator.configuration, operator.waves, fleet, workers.whole(), ledgers, owners
     )
 
 
--- a/azurelanding/site_state.py
+++ b/azurelanding/site_state.py
@@ -3,6 +3,7 @@
 import structlog
 
 from azurelanding.configuration import Configuration
+from azurelanding.record_faults import KEPT
 from azurelanding.store import StoredRecordError
 from azurelanding.utils import Notifier, boot_time
 
@@ -74,30 +75,56 @@
 class WorkersFold:
     """Keeps the workers' entries in a ``WorkerRegistry``.
 
-    ``decode(record)`` returns a ``WorkerEntry`` or raises ``StoredRecordError``.
+    An entry changes with each heartbeat, and most daemons need none of them. So the
+    newest entries are kept in ``pending``, and read once the registry is needed.
+    ``decode(record)`` returns a ``WorkerEntry`` or raises ``StoredRecordError``;
+    ``faults`` are the ``RecordFaults`` of the daemon.
     """
 
-    def __init__(self, decode, registry):
+    def __init__(self, topic, decode, registry, faults):
+        self.topic = topic
         self.decode = decode
         self.registry = registry
+        self.faults = faults
+        self.pending = {}
 
     def clear(self):
         """Remove all workers."""
-        self.registry.clear()
+        self.whole().clear()
 
     def load_order(self, record):
         """Return the sort key of a record when the newest of each key are loaded."""
         return record.offset
 
     def apply_stored(self, record):
-        """Set or remove the entry of one worker.
+        """Take the entry of one worker; return ``KEPT`` if it is read later."""
+        if record.value:
+            self.pending[record.key] = record
+            return KEPT
+        # The last entry tells that an earlier incarnation of its host has ended.
+        last = self.pending.pop(record.key, None)
+        if last is not None:
+            self.faults.apply(self.topic, last, self._read)
+        self.registry.put(record.key, None)
+        return None
+
+    def _read(self, record):
+        """Set the entry of one worker.
 
         An entry that can't be read names no worker to use, but doesn't end what runs on
         a known worker either. Its ``StoredRecordError`` is raised.
         """
         try:
-            entry = self.decode(record) if record.value else None
+            entry = self.decode(record)
         except StoredRecordError:
             self.registry.mark_unreadable(record.key)
             raise
         self.registry.put(record.key, entry)
+
+    def whole(self):
+        """Return the registry with all entries read."""
+        if self.pending:
+            pending, self.pending = self.pending, {}
+            for record in sorted(pending.values(), key=self.load_order):
+                self.faults.apply(self.topic, record, self._read)
+        return self.registry
--- a/azurelanding/topic_follower.py
+++ b/azurelanding/topic_follower.py
@@ -130,6 +130,7 @@
         self.paused_load = None
         self.pending_refreshes = []
         self.refresh_requested = Notifier()
+        self.hurried = Notifier()
         self.changes = Notifier()
 
     @property
@@ -281,9 +282,12 @@
                 await anyio.sleep(RETRY_DELAY_SECONDS)
                 continue
             self._log_reachability(None)
-            delay = self.read_delay()
-            if delay > 0:
-                await anyio.sleep(delay)
+            with anyio.move_on_after(self.read_delay()):
+                await self.hurried.wait()
+
+    def hurry(self):
+        """Read again now, as the delay between two reads has become shorter."""
+        self.hurried.notify()
 
     async def refresh(self):
         """Return once all records are applied that were stored at the time of the call.
