A site of the tests waits for processes that get no processor

Change: once the time is over, the wait goes on while a process of the site is runnable and has used less than 4 s of processor time, 240 s at most. One that has ended, waits for something else or loops is reported as before.

--- a/azurelanding/standins/site.py
+++ b/azurelanding/standins/site.py
@@ -27,7 +27,11 @@
 LOOPBACK = "127.0.0.1"
 CLIENT_TIMEOUT_SECONDS = 30.0
 READY_TIMEOUT_SECONDS = 20.0
-"""Longest wait for a process that runs; one that has ended is not waited for."""
+"""Longest wait for a process that runs; one that has ended is not waited for, and one
+that gets no processor longer."""
+START_PROCESSOR_SECONDS = 4.0
+"""Processor time in which any process of a site has started; it needs a fifth of it."""
+LONGEST_START_SECONDS = 240.0
 STOP_TIMEOUT_SECONDS = 20.0
 ABORT_TIMEOUT_SECONDS = 2.0
 POLL_INTERVAL_SECONDS = 0.05
@@ -36,6 +40,15 @@
 PORT_RANGE = range(20_000, 32_000)
 
 
+def _state_and_used_seconds(pid):
+    """Return the state of a process, such as ``R``, and its processor time."""
+    # utime and stime are the 14th and 15th field, state the 3rd.
+    stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    used = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    return fields[0], used
+
+
 class SiteError(Exception):
     """A daemon of the site did not become ready in time."""
 
@@ -338,7 +351,8 @@
         """Poll the status of ``daemon`` until ``condition(report)``; return the report.
 
         Raises ``SiteError`` after ``timeout`` seconds, or when the process has ended.
-        The process is then ended, for the log to tell what it was doing.
+        The process is then ended, for the log to tell what it was doing. While one of
+        the site's processes waits for a processor to start on, the time is longer.
         """
         client = OperatorsClient.from_config(daemon.operators)
         started_at = anyio.current_time()
@@ -349,9 +363,10 @@
             task_group.cancel_scope.cancel()
 
         try:
-            with anyio.move_on_after(timeout):
+            with anyio.move_on_after(LONGEST_START_SECONDS):
                 async with anyio.create_task_group() as task_group:
                     task_group.start_soon(cancel_when_ended, task_group)
+                    task_group.start_soon(self._cancel_after, timeout, task_group)
                     while True:
                         try:
                             report = await client.status()
@@ -371,21 +386,36 @@
             f"{self._end_of_log(daemon.name)}"
         )
 
+    async def _cancel_after(self, timeout, task_group):
+        """Cancel once ``timeout`` is over and no process waits for a processor."""
+        await anyio.sleep(timeout)
+        while self._is_starting():  # noqa: ASYNC110
+            await anyio.sleep(POLL_INTERVAL_SECONDS)
+        task_group.cancel_scope.cancel()
+
+    def _is_starting(self):
+        """Return whether a process can run and has not had the time to start."""
+        processes = [daemon.process for daemon in self.daemons.values()]
+        for process in [*processes, *self.standins.values()]:
+            if process is None or process.returncode is not None:
+                continue
+            state, used = _state_and_used_seconds(process.pid)
+            if state == "R" and used < START_PROCESSOR_SECONDS:
+                return True
+        return False
+
     async def _end_and_describe(self, daemon):
         """End a process with its traceback in the log; say what it was found doing."""
         process = daemon.process
         if process.returncode is not None:
             return f"its process ended with exit code {process.returncode}"
-        # utime and stime are the 14th and 15th field, state the 3rd.
-        stat = await anyio.Path(f"/proc/{process.pid}/stat").read_text()
-        fields = stat.rpartition(")")[2].split()
-        used = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        state, used = _state_and_used_seconds(process.pid)
         process.send_signal(signal.SIGABRT)
         process.send_signal(signal.SIGCONT)
         with anyio.move_on_after(ABORT_TIMEOUT_SECONDS):
             await process.wait()
         return (
-            f"its process runs in state {fields[0]}, has used {used:.2f} s of processor"
+            f"its process runs in state {state}, has used {used:.2f} s of processor"
             f" time, load average {os.getloadavg()[0]:.1f}"
         )
 
--- a/azurelanding/tests/test_site.py
+++ b/azurelanding/tests/test_site.py
@@ -96,6 +96,19 @@
         self.assertIn("its process ended with exit code", error)
         self.assertIn("can't listen", error)
 
+    def test_process_that_waits_for_a_processor_is_waited_for(self):
+        # It was given up after a time that a busy machine needs for its imports alone.
+        async def main():
+            site = LocalSite.from_config(SiteConfig(entries=1, controls=0))
+            daemon = site.daemons["entry-1"]
+            try:
+                await site.start_daemon("entry-1")
+                return await site.wait_for_status(daemon, lambda report: True, 0.05)
+            finally:
+                await site.close()
+
+        self.assertEqual("entry-1", anyio.run(main).name)
+
     def test_process_that_does_not_answer_shows_what_it_does(self):
         @contextlib.contextmanager
         def no_condition_met(site, daemon):
