HTTP calls are one write and the reads of their answer

Cause: most of what a daemon spends, as controller or not, went into the layers of the HTTP client: by a profile of a controller of 50 workers, half of its processor time, some 0.5 ms a call, in httpcore, h11 and their locks, scopes and headers.

Change: `HttpClient` writes a request at once and parses the answer with httptools, which the server side uses already. As before: one connection and one request at a time, closed after a failure or when the peer closed it meanwhile; what may have been sent is told apart; an answer that is cut, too long or followed by other bytes is no answer; a download may take long while its body arrives. httpcore stays for the slots of the plain product, which need to know when the first byte is written.

--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -1,21 +1,29 @@
-"""Send HTTP requests to one peer over a persistent connection."""
+"""Send HTTP requests to one peer over a persistent connection.
+
+Answers are parsed by ``httptools``. A daemon on the platform makes most of its calls
+here, so an exchange is one write and the reads of its answer.
+"""
 
 import asyncio
 import contextlib
+import select
 import typing
 
 import anyio
+import anyio.abc
 import attrs
-import httpcore
+import httptools
 import msgspec
 
 from azurelanding.addresses import is_reachable, split_address
 from azurelanding.decoding import FAULTS, make_json_decoder
 
-CONNECT_FAILED = "CONNECTION FAILED"
-"""What httpcore tells of a connection that was never opened."""
 MAX_ANSWER_BYTES = 32 << 20
 """Longest answer that is read; several times the longest list of hosts."""
+READ_BYTES = 65_536
+FIRST_FINAL_STATUS = 200
+CLOSE_TIMEOUT_SECONDS = 1.0
+CONNECTION_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
 class HttpClientError(Exception):
@@ -31,30 +39,22 @@
     @property
     def timed_out(self):
         """Return whether the time for the request ran out."""
-        return isinstance(self.__cause__, (TimeoutError, httpcore.TimeoutException))
+        return isinstance(self.__cause__, TimeoutError)
 
 
-class AnswerTooLongError(ValueError):
-    """An answer is longer than ``MAX_ANSWER_BYTES``."""
+class AnswerFormatError(ValueError):
+    """An answer is cut, too long, or no HTTP."""
 
 
 @attrs.frozen
 class HttpAnswer:
-    """A complete answer; ``headers`` are pairs of name and value in bytes."""
+    """A complete answer; ``headers`` are pairs of name, in lower case, and value."""
 
     status: int
     headers: list[tuple[bytes, bytes]]
     content: bytes
 
 
-def _make_origin(address):
-    """Return the ``httpcore.Origin`` at an address, ``None`` if it can't be one."""
-    if not is_reachable(address):
-        return None
-    host, port = split_address(address)
-    return httpcore.Origin(b"http", host.encode(), port)
-
-
 decode_any_json = make_json_decoder(typing.Any, ValueError)
 
 
@@ -83,16 +83,71 @@
         raise TimeoutError
 
 
-async def _read(response, on_part=lambda: None):
-    """Return the body of an ``httpcore.Response``; call ``on_part()`` for each part."""
-    parts, size = [], 0
-    async for part in response.aiter_stream():
-        on_part()
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise AnswerTooLongError(f"more than {MAX_ANSWER_BYTES} bytes")
-    return b"".join(parts)
+class AnswerReader:
+    """Collects one answer from the bytes of a connection.
+
+    The methods whose names begin with ``on_`` are called by the parser.
+    ``is_kept_open`` says whether the peer keeps the connection after the answer, and
+    ``has_excess`` whether bytes followed it, which belong to no request.
+    """
+
+    def __init__(self):
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers = []
+        self.parts = []
+        self.size = 0
+        self.is_complete = False
+        self.is_kept_open = False
+        self.has_excess = False
+
+    def on_message_begin(self):
+        """Note that an answer begins."""
+        self.has_excess = self.is_complete
+
+    def on_header(self, name, value):
+        """Take one header."""
+        self.headers.append((name.lower(), value))
+
+    def on_body(self, part):
+        """Take a part of the body."""
+        self.parts.append(part)
+        self.size += len(part)
+
+    def on_message_complete(self):
+        """Note the end of an answer; one that announces another does not count."""
+        if self.parser.get_status_code() >= FIRST_FINAL_STATUS:
+            self.is_complete = True
+            self.is_kept_open = self.parser.should_keep_alive()
+        else:
+            self.headers = []
+
+    def feed(self, data):
+        """Take what was read; raise ``AnswerFormatError`` if it is no answer."""
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise AnswerFormatError(f"not an HTTP answer: {error}") from error
+        if self.size > MAX_ANSWER_BYTES:
+            raise AnswerFormatError(f"more than {MAX_ANSWER_BYTES} bytes")
+
+    def end(self):
+        """Note that the peer closed the connection, which ends a body without length.
+
+        Raises ``AnswerFormatError`` when the answer is cut.
+        """
+        names = {name for name, _ in self.headers}
+        has_length = names & {b"content-length", b"transfer-encoding"}
+        if not self.headers or has_length:
+            raise AnswerFormatError("the connection was closed before the end")
+
+    def answer(self):
+        """Return the ``HttpAnswer``."""
+        status, content = self.parser.get_status_code(), b"".join(self.parts)
+        return HttpAnswer(status, self.headers, content)
+
+    def allows_another(self):
+        """Return whether another request may be sent over the connection."""
+        return self.is_kept_open and not self.has_excess
 
 
 class HttpClient:
@@ -106,20 +161,26 @@
     """
 
     def __init__(self, address, timeout, on_open=None):
-        self.origin = _make_origin(address)
         self.address = address
         self.timeout = timeout
         self.on_open = on_open
         self.on_answer = None
-        self.lock = anyio.Lock()
-        self.connection = None
+        self.lock = anyio.Lock(fast_acquire=True)
+        self.stream = None
+        self.idle = None
+
+    async def _open(self):
+        host, port = split_address(self.address)
+        if self.on_open is not None:
+            self.on_open()
+        self.stream = await anyio.connect_tcp(host, port)
+        self.idle = select.poll()
+        raw_socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self.idle.register(raw_socket, select.POLLIN)
 
     async def _drop_if_closed(self):
-        """Drop the connection if the peer closed it while it was idle."""
-        connection = self.connection
-        if connection is not None and (
-            connection.has_expired() or not connection.is_available()
-        ):
+        """Drop the connection if the peer closed it or sent more while it was idle."""
+        if self.stream is not None and self.idle.poll(0):
             await self._drop()
 
     async def is_open(self):
@@ -129,33 +190,42 @@
         """
         async with self.lock:
             await self._drop_if_closed()
-            return self.connection is not None
-
-    def _was_connected(self):
-        """Return whether the connection was open, so that a request may be sent."""
-        return self.connection is None or self.connection.info() != CONNECT_FAILED
+            return self.stream is not None
+
+    def _encode_request(self, method, target, headers, body):
+        """Return a request in bytes; raise ``ValueError`` if it can't be sent."""
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {self.address}",
+            *(f"{name}: {value}" for name, value in headers),
+            f"Content-Length: {len(body)}",
+        ]
+        if any("\r" in line or "\n" in line for line in lines):
+            raise ValueError("a line break in the head of a request")
+        return "\r\n".join((*lines, "\r\n")).encode("ascii") + body
+
+    async def _exchange(self, request, on_part=lambda: None):
+        """Send a request and return the ``HttpAnswer``.
 
-    async def _stream(self, method, target, headers=(), body=b""):
-        """Return the context manager of an exchange, whose answer is not read yet."""
+        ``on_part()`` is called whenever a part of the body has arrived.
+        """
         await self._drop_if_closed()
-        if self.connection is None:
-            self.connection = httpcore.AsyncHTTPConnection(self.origin)
-            if self.on_open is not None:
-                self.on_open()
-        url = httpcore.URL(
-            scheme=b"http",
-            host=self.origin.host,
-            port=self.origin.port,
-            target=target.encode(),
-        )
-        host = ("Host", self.address)
-        return self.connection.stream(
-            method, url, headers=[host, *headers], content=body
-        )
-
-    def _tell_answer(self, target, response, content):
-        if self.on_answer is not None:
-            self.on_answer(target, response.headers, len(content))
+        if self.stream is None:
+            await self._open()
+        reader = AnswerReader()
+        await self.stream.send(request)
+        while not reader.is_complete:
+            try:
+                data = await self.stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                reader.end()
+                break
+            reader.feed(data)
+            if reader.parts:
+                on_part()
+        if not reader.allows_another():
+            await self._drop()
+        return reader.answer()
 
     async def request(self, method, target, body=b"", headers=(), timeout=None):
         """Send a request and return the status and the body of the answer.
@@ -163,8 +233,8 @@
         ``timeout`` in seconds replaces that of the client. Raises
         ``HttpClientError`` when there is no complete answer in time.
         """
-        response = await self.send(method, target, body, headers, timeout)
-        return response.status, response.content
+        answer = await self.send(method, target, body, headers, timeout)
+        return answer.status, answer.content
 
     async def send(
         self,
@@ -180,13 +250,11 @@
         ``timeout`` in seconds replaces that of the client, and ``limit_time(timeout)``
         applies it. Raises ``HttpClientError`` when there is no complete answer in time.
         """
-        async with (
-            self._exchange(timeout, limit_time),
-            await self._stream(method, target, headers, body) as response,
-        ):
-            content = await _read(response)
-        self._tell_answer(target, response, content)
-        return HttpAnswer(response.status, response.headers, content)
+        async with self._limited(timeout, limit_time):
+            request = self._encode_request(method, target, headers, body)
+            answer = await self._exchange(request)
+        self._tell_answer(target, answer)
+        return answer
 
     async def download(self, target, timeout=None):
         """Get ``target`` and return the status and the body of the answer.
@@ -196,43 +264,40 @@
         end, where a limit of the whole would have it sent again from the start. Raises
         ``HttpClientError`` when there is no complete answer.
         """
-        async with (
-            self._exchange(timeout) as scope,
-            await self._stream("GET", target) as response,
-        ):
+        async with self._limited(timeout) as scope:
 
             def extend_deadline():
                 scope.deadline = anyio.current_time() + self.timeout
 
-            content = await _read(response, extend_deadline)
-        self._tell_answer(target, response, content)
-        return response.status, content
+            request = self._encode_request("GET", target, (), b"")
+            answer = await self._exchange(request, extend_deadline)
+        self._tell_answer(target, answer)
+        return answer.status, answer.content
+
+    def _tell_answer(self, target, answer):
+        if self.on_answer is not None:
+            self.on_answer(target, answer.headers, len(answer.content))
 
     @contextlib.asynccontextmanager
-    async def _exchange(self, timeout, limit_time=anyio.fail_after):
+    async def _limited(self, timeout, limit_time=anyio.fail_after):
         """Limit the time of an exchange, and close the connection if it fails."""
-        if self.origin is None:
+        if not is_reachable(self.address):
             message = f"no peer can be at {self.address!r}"
             raise HttpClientError(message, sent=False)
         max_wait = self.timeout if timeout is None else timeout
         async with self.lock:
+            is_done = False
             try:
                 with limit_time(max_wait) as scope:
                     yield scope
-            except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-                message = f"can't connect to {self.address}: {error}"
-                raise HttpClientError(message, sent=False) from error
-            except (
-                httpcore.NetworkError,
-                httpcore.ProtocolError,
-                httpcore.TimeoutException,
-                TimeoutError,
-                *FAULTS,
-            ) as error:
-                message = f"no answer from {self.address}: {error!r}"
-                raise HttpClientError(message, self._was_connected()) from error
+                is_done = True
+            except (*CONNECTION_ERRORS, *FAULTS) as error:
+                was_connected = self.stream is not None
+                verb = "no answer from" if was_connected else "can't connect to"
+                message = f"{verb} {self.address}: {error!r}"
+                raise HttpClientError(message, was_connected) from error
             finally:
-                if self.connection is not None and not self.connection.is_idle():
+                if not is_done:
                     await self._drop()
 
     async def request_json(self, method, target, value=None):
@@ -253,11 +318,13 @@
         return status, decoded
 
     async def _drop(self):
-        connection, self.connection = self.connection, None
-        with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
-            await connection.aclose()
+        if self.stream is None:
+            return
+        stream, self.stream = self.stream, None
+        with anyio.CancelScope(shield=True):
+            # Nothing is waited for: what the peer has not read yet is lost.
+            await anyio.aclose_forcefully(stream)
 
     async def close(self):
         """Close the connection. Closing it again does nothing."""
-        if self.connection is not None:
-            await self._drop()
+        await self._drop()
