An answer ends with its last byte, and own records are not decoded again

A controller decoded its own records again when it read them. A new fleet controller waited out the long delay of an idle daemon before it read the pools.

Change: the reader of an answer takes nothing after its end and drops the connection; a drop discards what is not sent; a record that is not newer than the folded one is not decoded; the fleet controller has the streams read at once.

--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -131,6 +131,8 @@
                 logger.info("fleet takeover delayed", reason=str(error))
                 await anyio.sleep(POLL_INTERVAL_SECONDS)
             else:
+                for stream in self.daemon.streams.values():
+                    stream.follower.hurry()
                 self._set_orderable_times()
                 self._log_acquired(epoch)
                 return True
--- a/azurelanding/http_client.py
+++ b/azurelanding/http_client.py
@@ -93,6 +93,7 @@
 
     def __init__(self):
         self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
         self.headers = []
         self.parts = []
         self.size = 0
@@ -106,16 +107,21 @@
 
     def on_header(self, name, value):
         """Take one header."""
-        self.headers.append((name.lower(), value))
+        if not self.is_complete:
+            self.headers.append((name.lower(), value))
 
     def on_body(self, part):
         """Take a part of the body."""
-        self.parts.append(part)
-        self.size += len(part)
+        if not self.is_complete:
+            self.parts.append(part)
+            self.size += len(part)
 
     def on_message_complete(self):
         """Note the end of an answer; one that announces another does not count."""
-        if self.parser.get_status_code() >= FIRST_FINAL_STATUS:
+        if self.is_complete:
+            return
+        self.status = self.parser.get_status_code()
+        if self.status >= FIRST_FINAL_STATUS:
             self.is_complete = True
             self.is_kept_open = self.parser.should_keep_alive()
         else:
@@ -126,7 +132,9 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise AnswerFormatError(f"not an HTTP answer: {error}") from error
+            if not self.is_complete:
+                raise AnswerFormatError(f"not an HTTP answer: {error}") from error
+            self.has_excess = True
         if self.size > MAX_ANSWER_BYTES:
             raise AnswerFormatError(f"more than {MAX_ANSWER_BYTES} bytes")
 
@@ -139,11 +147,11 @@
         has_length = names & {b"content-length", b"transfer-encoding"}
         if not self.headers or has_length:
             raise AnswerFormatError("the connection was closed before the end")
+        self.status = self.parser.get_status_code()
 
     def answer(self):
         """Return the ``HttpAnswer``."""
-        status, content = self.parser.get_status_code(), b"".join(self.parts)
-        return HttpAnswer(status, self.headers, content)
+        return HttpAnswer(self.status, self.headers, b"".join(self.parts))
 
     def allows_another(self):
         """Return whether another request may be sent over the connection."""
@@ -321,9 +329,9 @@
         if self.stream is None:
             return
         stream, self.stream = self.stream, None
-        with anyio.CancelScope(shield=True):
-            # Nothing is waited for: what the peer has not read yet is lost.
-            await anyio.aclose_forcefully(stream)
+        # What was not sent yet is lost, so that a request isn't carried out late.
+        with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_TIMEOUT_SECONDS):
+            await stream.aclose()
 
     async def close(self):
         """Close the connection. Closing it again does nothing."""
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -35,7 +35,13 @@
         return rank, record.offset
 
     def apply_stored(self, record):
-        """Apply one ``StoredRecord``; raise ``StoredRecordError`` if it is invalid."""
+        """Apply one ``StoredRecord``; raise ``StoredRecordError`` if it is invalid.
+
+        What this daemon has appended was applied at once; it is not decoded again when
+        it is read.
+        """
+        if record.offset <= self.ledger.offsets.get(decode_key(record.key), -1):
+            return
         key, decoded = decode_record(record.key, record.value)
         self.ledger.apply(key, decoded, record.offset)
 
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -204,8 +204,8 @@
         return {partition_of(pool, self.site.store.partitions) for pool in pools}
 
     def _read_delay(self, partition):
-        is_active = self.streams[partition].deferred.has_active_jobs()
-        if not is_active and partition not in self._partitions_in_use():
+        is_in_use = partition in self._partitions_in_use()
+        if not (is_in_use or self.streams[partition].deferred.has_active_jobs()):
             return IDLE_INTERVAL_SECONDS
         if self.member.epoch_of(TOPIC, partition) is not None:
             return CONTROL_INTERVAL_SECONDS
--- a/azurelanding/tests/test_topic_follower.py
+++ b/azurelanding/tests/test_topic_follower.py
@@ -148,6 +148,28 @@
         self.assertEqual(sorted(applied), sorted(read))
 
 
+class HurriedTest(testtools.TestCase):
+    """A follower whose delay between two reads becomes shorter."""
+
+    def test_hurried_follower_reads_at_once(self):
+        async def main():
+            store, fold = StoreModel(1), ListFold()
+            follower = TopicFollower("jobs", 0, store.client, fold, lambda: 30.0, 1.0)
+            partition = store.partitions["jobs", 0]
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(follower.run)
+                await anyio.sleep(0.1)
+                partition.append([("a", b"1")], Producer("p", 1), 1)
+                await anyio.sleep(0.1)
+                before = list(fold.keys)
+                follower.hurry()
+                await anyio.sleep(0.1)
+                task_group.cancel_scope.cancel()
+            return before, fold.keys
+
+        self.assertEqual(([], ["a"]), anyio.run(main))
+
+
 class RefusingClient:
     """A client of a store that refuses each read, which it counts."""
 
