A process that has just got its processor is waited for, in fact

Change: the wait goes on until 2 s have passed in which no process lacked a processor, counted from the end of the time for the start.

--- a/azurelanding/standins/site.py
+++ b/azurelanding/standins/site.py
@@ -394,7 +394,7 @@
         One that has just started still has to answer, so it gets ``ANSWER_SECONDS``.
         """
         await anyio.sleep(timeout)
-        answer_by = anyio.current_time()
+        answer_by = anyio.current_time() + ANSWER_SECONDS
         while anyio.current_time() <= answer_by:
             if self._is_starting():
                 answer_by = anyio.current_time() + ANSWER_SECONDS
