One place writes the settings and the configuration of daemons in tests and benches

Cause: two tests and the bench of an idle daemon each wrote both, in the platform's names.

Change: `standins/platform_settings`.

--- a/azurelanding/tests/platform_processes.py
+++ b/azurelanding/tests/platform_processes.py
@@ -1,17 +1,20 @@
 """Run daemons as processes on stand-ins of the platform's store and workers."""
 
 import contextlib
-import os
 import pathlib
 import sys
 import tempfile
 
 import anyio
-import msgspec
 
 import azurelanding
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.http_server import HttpServer
+from azurelanding.standins.platform_settings import (
+    encode_configuration,
+    encode_settings,
+    environment,
+)
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.standins.platform_worker import WorkerFleet, WorkerKnobs, WorkerModel
 from azurelanding.standins.platform_worker_app import encode_entry, make_worker_app
@@ -22,23 +25,13 @@
 SCENARIO_TIMEOUT_SECONDS = 90
 
 
-def make_route(name, host):
-    """Return a route of the configuration; clients send the address as host."""
-    return {
-        "name": f"{name}-{host}",
-        "host": host,
-        "pathPrefix": f"/{name}/",
-        "service": "cuts",
-        "timeoutMs": 3000,
-    }
-
-
 def make_configuration(version, *names):
-    """Return a configuration with a route for each of ``names``."""
-    routes = [make_route(name, ip) for name in names for ip in IPS]
-    services = [{"name": "cuts"}]
-    values = {"version": version, "routes": routes, "services": services}
-    return msgspec.json.encode(values)
+    """Return a configuration with a queue for each of ``names``, on each address.
+
+    Clients send the address as the host.
+    """
+    routes = [(f"{name}:{ip}", ip, "cuts") for name in names for ip in IPS]
+    return encode_configuration(version, routes)
 
 
 class Platform:
@@ -79,20 +72,15 @@
         """Start a daemon on each address, and wait until they are ready."""
         store_address = self._serve(self.store.app)
         for number, ip in enumerate(IPS):
-            settings = {
-                "nodeName": f"edge-a-{number}",
-                "zone": "a",
-                "ip": ip,
-                "listen": {"frontend": f"{ip}:7171", "readiness": f"{ip}:7172"},
-                "platform": {"address": store_address, "parts": PARTITIONS},
-            }
             path = anyio.Path(self.directory, f"{number}.json")
-            await path.write_bytes(msgspec.json.encode(settings))
+            await path.write_bytes(
+                encode_settings(f"edge-a-{number}", ip, store_address, PARTITIONS)
+            )
             log = await anyio.Path(self.directory, f"{number}.log").open("wb")
             async with log:
                 process = await anyio.open_process(
                     [sys.executable, str(ROOT / "entry.py")],
-                    env={**os.environ, "AZURELANDING_BOOT": str(path)},
+                    env=environment(path),
                     stdout=log.wrapped,
                     stderr=log.wrapped,
                 )
--- a/azurelanding/tests/test_platform_process.py
+++ b/azurelanding/tests/test_platform_process.py
@@ -1,6 +1,5 @@
 """Tests of the platform's daemon as a separate process, over real sockets."""
 
-import os
 import pathlib
 import signal
 import subprocess
@@ -14,38 +13,18 @@
 import azurelanding
 from azurelanding.http_client import HttpClient, HttpClientError
 from azurelanding.http_server import HttpServer
+from azurelanding.standins.platform_settings import (
+    encode_configuration,
+    encode_settings,
+    environment,
+)
 from azurelanding.standins.platform_store import StoreModel
 
 ROOT = pathlib.Path(azurelanding.__file__).parent.parent
 IP = "127.0.0.77"
 CALLERS, READINESS, METRICS = f"{IP}:7171", f"{IP}:7172", f"{IP}:7075"
 JOB_PATH = "/p/0123456789abcdef"
-CONFIGURATION = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "r",
-            "host": IP,
-            "pathPrefix": "/p/",
-            "service": "cuts",
-            "timeoutMs": 3000,
-        }
-    ],
-    "services": [{"name": "cuts"}],
-}
-
-
-def encode_settings(store_address):
-    """Return the settings of the process as JSON."""
-    return msgspec.json.encode(
-        {
-            "nodeName": "edge-a-1",
-            "zone": "a",
-            "ip": IP,
-            "listen": {"frontend": CALLERS, "readiness": READINESS},
-            "platform": {"address": store_address, "parts": 4},
-        }
-    )
+CONFIGURATION = encode_configuration(3, [("p", IP, "cuts")])
 
 
 async def request(address, method, path, body=b""):
@@ -78,12 +57,13 @@
             server.start(task_group)
             with tempfile.TemporaryDirectory() as directory:
                 path = anyio.Path(directory, "settings.json")
-                await path.write_bytes(encode_settings(server.address))
-                environment = {**os.environ, "AZURELANDING_BOOT": str(path)}
+                settings = encode_settings("edge-a-1", IP, server.address, 4)
+                await path.write_bytes(settings)
+                variables = environment(path)
                 command = [sys.executable, str(ROOT / "entry.py")]
                 process = await anyio.open_process(
                     command,
-                    env=environment,
+                    env=variables,
                     stdout=subprocess.DEVNULL,
                     stderr=subprocess.DEVNULL,
                 )
@@ -101,7 +81,7 @@
         async def scenario(model, process):
             await wait_for_status(READINESS, "/v1/ready", 503)
             self.assertEqual(503, (await request(CALLERS, "POST", JOB_PATH, b"{}"))[0])
-            model.put("keyed.op", "config", msgspec.json.encode(CONFIGURATION))
+            model.put("keyed.op", "config", CONFIGURATION)
             await wait_for_status(READINESS, "/v1/ready", 200)
             body = msgspec.json.encode({"spec": "s", "steps": [{"count": 1}]})
             self.assertEqual(200, (await request(CALLERS, "POST", JOB_PATH, body))[0])
@@ -126,9 +106,9 @@
             with tempfile.NamedTemporaryFile() as settings:
                 settings.write(b"{")
                 settings.flush()
-                environment = {**os.environ, "AZURELANDING_BOOT": settings.name}
+                variables = environment(settings.name)
                 command = [sys.executable, str(ROOT / "entry.py")]
-                return await anyio.run_process(command, env=environment, check=False)
+                return await anyio.run_process(command, env=variables, check=False)
 
         result = anyio.run(main)
         self.assertEqual(2, result.returncode)
--- a/bench/idle_cost.py
+++ b/bench/idle_cost.py
@@ -20,7 +20,6 @@
 import anyio
 import attrs
 import defopt
-import msgspec
 
 import azurelanding
 from azurelanding import job_records, ledger
@@ -28,6 +27,11 @@
 from azurelanding.http_server import HttpServer
 from azurelanding.jobs import Job, JobOutcome, Step, TaskId, TaskState
 from azurelanding.membership import CONTROL_GROUP, FLEET_GROUP, partition_of
+from azurelanding.standins.platform_settings import (
+    encode_configuration,
+    encode_settings,
+    environment,
+)
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.standins.platform_worker import WorkerModel
 from azurelanding.standins.platform_worker_app import encode_entry
@@ -52,21 +56,6 @@
     jobs: int = 0
 
 
-def encode_settings(store_address):
-    """Return the settings of the daemon."""
-    return msgspec.json.encode(
-        {
-            "nodeName": "edge-a-1",
-            "zone": "a",
-            "ip": IP,
-            "listen": {"frontend": f"{IP}:7171", "readiness": f"{IP}:7172"},
-            "platform": {"address": store_address, "parts": PARTITIONS},
-            "cloudApi": {"address": "127.0.0.1:9"},
-            "limits": {"linkMbps": LINK_MEGABITS},
-        }
-    )
-
-
 def make_store():
     """Return a store with a configuration, where another member holds everything."""
     store = StoreModel(PARTITIONS)
@@ -74,26 +63,15 @@
     for topic in ("keyed.jobs", "keyed.fleet"):
         group = CONTROL_GROUP if topic == "keyed.jobs" else FLEET_GROUP
         store.join(group, "other", (topic,), FOREVER_SECONDS)
-    routes = [
-        {
-            "name": f"queue-{pool}",
-            "host": IP,
-            "pathPrefix": f"/{pool}/",
-            "service": pool,
-            "timeoutMs": 3000,
-        }
-        for pool in POOLS
-    ]
-    services = [{"name": pool} for pool in POOLS]
-    values = {"version": 1, "routes": routes, "services": services}
-    store.put("keyed.op", "config", msgspec.json.encode(values))
+    routes = [(f"{pool}:queue", IP, pool) for pool in POOLS]
+    store.put("keyed.op", "config", encode_configuration(1, routes))
     return store
 
 
 def job_history(job_id, pool):
     """Return lists of the records that a job leaves, in their order."""
     steps = (Step(TASKS_PER_JOB, Resources(4.5, 1 << 30, 0), estimate=1.0),)
-    job = Job(job_id, f"queue-{pool}", pool, "s" * 300, steps, 1.0)
+    job = Job(job_id, f"{pool}:queue", pool, "s" * 300, steps, 1.0)
     tasks = [TaskId(job_id, 0, 0, index) for index in range(TASKS_PER_JOB)]
     placed = [ledger.TaskChanged(t, TaskState(1, {1: "w-1"})) for t in tasks]
     done = [ledger.TaskChanged(t, TaskState(1, is_done=True)) for t in tasks]
@@ -169,10 +147,19 @@
         task_group.start_soon(write, store, traffic)
         with tempfile.TemporaryDirectory() as directory:
             path = anyio.Path(directory, "settings.json")
-            await path.write_bytes(encode_settings(server.address))
+            await path.write_bytes(
+                encode_settings(
+                    "edge-a-1",
+                    IP,
+                    server.address,
+                    PARTITIONS,
+                    cloudApi={"address": "127.0.0.1:9"},
+                    limits={"linkMbps": LINK_MEGABITS},
+                )
+            )
             process = await anyio.open_process(
                 command,
-                env={**os.environ, "AZURELANDING_BOOT": str(path)},
+                env=environment(path),
                 stdout=subprocess.DEVNULL,
                 stderr=subprocess.DEVNULL,
             )
