--- a/azurelanding/tests/test_site_report.py
+++ b/azurelanding/tests/test_site_report.py
@@ -5,13 +5,13 @@
 import time
 
 import anyio
-import msgspec
 import testtools
 
 from azurelanding import site_report
 from azurelanding.http_server import HttpServer
 from azurelanding.jobs import JobPhase
 from azurelanding.operators.command_line import ExitCode
+from azurelanding.standins.platform_settings import encode_settings
 from azurelanding.standins.platform_store import StoreModel
 from azurelanding.tests.platform_world import (
     World,
@@ -21,11 +21,16 @@
     until,
 )
 from azurelanding.tests.test_commands import run_command
-from azurelanding.tests.test_platform_process import CONFIGURATION, encode_settings
+from azurelanding.tests.test_platform_process import CONFIGURATION, IP
 
 QUEUE = make_queue()
 
 
+def make_settings(store_address):
+    """Return the settings of a daemon of the store at an address."""
+    return encode_settings("edge-a-1", IP, store_address, 4)
+
+
 class SiteReportTest(testtools.TestCase):
     """The report on a site with running daemons."""
 
@@ -92,7 +97,7 @@
             return anyio.run(run_command, command, str(path), *arguments)
 
     def test_valid_settings_pass_the_check(self):
-        code, output, _ = self.run_on(encode_settings("127.0.0.1:1"), "site-check")
+        code, output, _ = self.run_on(make_settings("127.0.0.1:1"), "site-check")
         self.assertEqual(ExitCode.OK, code)
         self.assertIn("no fault (edge-a-1, store at 127.0.0.1:1)", output)
 
@@ -108,21 +113,21 @@
         self.assertEqual("no-such.json: No such file or directory", errors.strip())
 
     def test_unreachable_store_has_a_separate_exit_code(self):
-        code, _, errors = self.run_on(encode_settings("127.0.0.1:1"), "site-status")
+        code, _, errors = self.run_on(make_settings("127.0.0.1:1"), "site-status")
         self.assertEqual(ExitCode.UNREACHABLE, code)
         self.assertIn("the store at 127.0.0.1:1 can't be read", errors)
 
     def test_status_is_read_from_the_store(self):
         async def main():
             model = StoreModel()
-            model.put("keyed.op", "config", msgspec.json.encode(CONFIGURATION))
+            model.put("keyed.op", "config", CONFIGURATION)
             model.join("control", "edge-a-1-1", ("keyed.jobs",), 60.0)
             server = HttpServer.from_config("127.0.0.1:0", model.app, http="httptools")
             async with anyio.create_task_group() as task_group:
                 server.start(task_group)
                 with tempfile.TemporaryDirectory() as folder:
                     path = anyio.Path(folder, "settings.json")
-                    await path.write_bytes(encode_settings(server.address))
+                    await path.write_bytes(make_settings(server.address))
                     status = await run_command("site-status", str(path))
                     missing = await run_command(
                         "site-status", str(path), "--job", "f" * 16
