A test for the append that an unexpected error interrupts

Cause: gave such an append a higher epoch, but its tests pass without that, as seen by taking it out of a copy: UnexpectedErrorTest was OK.

Change: InterruptedAppendTest. Without the higher epoch it fails in the copy, the second record is answered as stored and is not (['a', 'b'] != ['a']); with it it passes.

--- a/azurelanding/tests/test_appender.py
+++ b/azurelanding/tests/test_appender.py
@@ -4,8 +4,10 @@
 import testtools
 
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
-from azurelanding.standins.platform_store import StoreModel
+from azurelanding.served_metrics import ServedMetrics
+from azurelanding.standins.platform_store import ModelClient, StoreModel
 from azurelanding.store import Producer, StoreError
+from azurelanding.supervision import keep_running
 
 RECORD = (("k", b"v"),)
 
@@ -131,3 +133,33 @@
             self.assertEqual([NotStoredError, OutcomeUnknownError], errors)
 
         self.run_with(scenario)
+
+
+class InterruptedAppendTest(testtools.TestCase):
+    """An append that is stored, and whose answer raises an error nobody expects."""
+
+    def test_append_after_an_interrupted_one_is_not_taken_for_its_repeat(self):
+        class FailingOnceClient(ModelClient):
+            has_failed = False
+
+            async def append(self, *arguments):
+                offset = await super().append(*arguments)
+                if not self.has_failed:
+                    self.has_failed = True
+                    raise RuntimeError("unexpected")
+                return offset
+
+        async def main():
+            store = StoreModel(1)
+            client = FailingOnceClient(store)
+            appender = Appender("jobs", 0, client, Producer("p", 1))
+            async with anyio.create_task_group() as task_group:
+                metrics = ServedMetrics()
+                task_group.start_soon(keep_running, "append", appender.run, metrics)
+                with testtools.ExpectedException(OutcomeUnknownError):
+                    await appender.append([("a", b"1")], 2.0)
+                await appender.append([("b", b"2")], 2.0)
+                task_group.cancel_scope.cancel()
+            return [record.key for record in store.partitions["jobs", 0].records]
+
+        self.assertEqual(["a", "b"], anyio.run(main))
