--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of the review: scripts that start the daemons against stand-ins."""
