A submission repeated after a move and a restart is one job

A queue moved to another pool, all processes were killed, and the submission of a running job arrived again. It was answered with 200 and all 8 tasks ran a second time, in the new pool; DELETE stopped one of the two copies.

Cause: a submission searches the other pools' streams only if its queue has moved lately, and a process knew of moves only from the configurations that it had seen itself. It also followed only the pools that queues use now, so `pending` left out jobs of the earlier pool.

Change: for 20 s after its first configuration a process counts every queue as moved, and it follows the streams of all pools of the configuration. The search reads the streams at the same time, as it is on the path of a submission now. Ruled out: the ids' fold (a repeat in the same stream is one job), GET and DELETE (they search all pools).

--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -7,6 +7,7 @@
 import enum
 import time
 
+import anyio
 import structlog
 
 from azurelanding.appender import NotStoredError, OutcomeUnknownError
@@ -34,12 +35,33 @@
     """The state of a job can't be determined now because the store can't be read."""
 
 
+async def _refresh_all(streams, deadline):
+    """Read all ``streams`` to their ends by ``deadline``, at the same time.
+
+    Raises the ``StoreError`` of one that can't be read.
+    """
+    errors = []
+
+    async def refresh(stream):
+        try:
+            await stream.follower.refresh_within(deadline - time.monotonic())
+        except StoreError as error:
+            errors.append(error)
+
+    async with anyio.create_task_group() as task_group:
+        for stream in streams:
+            task_group.start_soon(refresh, stream)
+    if errors:
+        raise errors[0]
+
+
 class JobService:
     """Accepts, cancels and reports jobs of all pools, whichever daemon controls them.
 
     ``stream_of(pool)`` returns the ``PoolStream`` of a pool, ``streams()`` returns all
     that this daemon follows, and ``streams_of_all_pools()`` follows the others too.
-    ``has_moved(queue_name)`` returns whether a queue has moved to another pool lately.
+    ``has_moved(queue_name)`` returns whether a queue may have moved to another pool
+    lately, from this one or from one that is not known.
     """
 
     def __init__(self, stream_of, streams, streams_of_all_pools, has_moved, metrics):
@@ -71,9 +93,8 @@
             state = stream.find(job_id)
             if state is not None:
                 return stream, state
-            for other in self.streams_of_all_pools():
-                if other is not stream:
-                    await other.follower.refresh_within(deadline - time.monotonic())
+            others = [s for s in self.streams_of_all_pools() if s is not stream]
+            await _refresh_all(others, deadline)
         except StoreError as error:
             found, state = self._find(job_id)
             if state is None:
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -174,10 +174,7 @@
         return self._stream_at(partition_of(pool, self.site.store.partitions))
 
     def _streams_of_all_pools(self):
-        """Return the streams of all pools, also of those that no queue uses any more.
-
-        Their jobs may have been accepted before this daemon was started.
-        """
+        """Return the streams of all pools, also of those that no queue uses."""
         for pool in self.operator.configuration.pools:
             self.stream_of(pool)
         return list(self.streams.values())
@@ -201,6 +198,9 @@
         """Return the partitions of the pools that run at least one queue."""
         configuration = self.operator.configuration
         pools = configuration.pools_in_use() if configuration else ()
+        return self._partitions_of(pools)
+
+    def _partitions_of(self, pools):
         return {partition_of(pool, self.site.store.partitions) for pool in pools}
 
     def _read_delay(self, partition):
@@ -290,16 +290,20 @@
             return False
         return all(
             self.streams[partition].follower.is_loaded
-            for partition in self._partitions_in_use() & self.streams.keys()
+            for partition in self._partitions_of(self.operator.configuration.pools)
+            if partition in self.streams
         )
 
     # Tasks
 
     async def _follow_configuration(self):
-        """Follow the streams of the pools that the configuration names."""
+        """Follow the streams of the pools that the configuration names.
+
+        A pool that no queue uses may have the jobs of a queue that has moved.
+        """
         while True:
             if self.operator.configuration is not None:
-                for pool in self.operator.configuration.pools_in_use():
+                for pool in self.operator.configuration.pools:
                     self.stream_of(pool)
                 self._match_controllers()
             with anyio.move_on_after(1.0):
--- a/azurelanding/site_state.py
+++ b/azurelanding/site_state.py
@@ -13,12 +13,17 @@
 """How long a queue counts as moved; callers repeat submissions for several seconds."""
 
 
+def _is_recent(moved_at):
+    return moved_at is not None and boot_time() < moved_at + MOVE_SECONDS
+
+
 class OperatorFold:
     """Holds the newest configuration and the waves by number.
 
     ``decode(record)`` returns a ``Configuration``, a ``WaveRequest`` or ``None``.
     ``pools`` maps each queue to its last pool, and ``moved_at`` those that have moved
-    to another pool to the ``boot_time`` of that.
+    to another pool to the ``boot_time`` of that. ``first_read_at`` is the ``boot_time``
+    of the first configuration, ``None`` before it.
     """
 
     def __init__(self, decode):
@@ -26,6 +31,7 @@
         self.configuration = None
         self.pools = {}
         self.moved_at = {}
+        self.first_read_at = None
         self.waves = {}
         self.changes = Notifier()
 
@@ -56,6 +62,8 @@
         if known is not None and configuration.version <= known.version:
             return
         self.configuration = configuration
+        if self.first_read_at is None:
+            self.first_read_at = boot_time()
         for queue in configuration.queues:
             if self.pools.setdefault(queue.name, queue.pool) != queue.pool:
                 self.moved_at[queue.name] = boot_time()
@@ -67,9 +75,12 @@
         )
 
     def has_moved(self, queue_name):
-        """Return whether a queue has moved to another pool lately."""
+        """Return whether a queue may have moved to another pool lately.
+
+        Whether one moved before the first configuration was read isn't known.
+        """
         moved_at = self.moved_at.get(queue_name)
-        return moved_at is not None and boot_time() < moved_at + MOVE_SECONDS
+        return _is_recent(self.first_read_at) or _is_recent(moved_at)
 
 
 class WorkersFold:
--- a/azurelanding/tests/test_site_rules.py
+++ b/azurelanding/tests/test_site_rules.py
@@ -6,8 +6,10 @@
 
 from azurelanding import site_daemon
 from azurelanding.fleet_workers import WorkerPhase
+from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobPhase
 from azurelanding.membership import partition_of
+from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import (
     World,
     make_job,
@@ -122,6 +124,40 @@
 
         anyio.run(main)
 
+    def test_submission_repeated_at_a_daemon_that_controls_neither_pool_runs_once(self):
+        # A process that had started after the move took the job for a new one.
+        again = attrs.evolve(self.job, pool=self.moved.pool)
+        self.world.add_worker("w", self.moved.pool)
+
+        async def main():
+            async with anyio.create_task_group() as task_group:
+                await self.start_job(task_group)
+                daemon = await self.start_daemon(task_group)
+                acceptance = await daemon.service.submit(again, 5.0)
+                self.assertIs(Acceptance.ACCEPTED, acceptance)
+                await until_phase(self.world, again, JobPhase.COMPLETED, 1)
+                await anyio.sleep(0.5)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual([1], list(count_starts(self.world, self.job).values()))
+
+    def test_daemon_that_starts_after_the_move_counts_the_waiting_jobs(self):
+        # The jobs of the earlier pool were left out unless the daemon controlled it.
+        waiting = make_job("a" * 16, steps=(make_step(need=Resources(64.0, 1, 0)),))
+
+        async def main():
+            async with anyio.create_task_group() as task_group:
+                await self.start_job(task_group)
+                await submit(self.world, waiting)
+                daemon = await self.start_daemon(task_group)
+                with anyio.fail_after(3.0):
+                    while daemon.service.pending(self.moved) != 1:  # noqa: ASYNC110
+                        await anyio.sleep(0.02)
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+
     def test_submission_repeated_across_the_move_runs_once(self):
         # It was stored for both pools, and its tasks ran in both.
         self.patch(site_daemon, "WATCH_INTERVAL_SECONDS", 3.0)
