A large job does not hold the event loop, nor the starts of others

After a job of 20,000 small tasks was accepted nothing of its service started any more; the control of the pool went round between the daemons.

Cause: a decision had no limit. Placing, encoding and applying 20,000 starts took over 2 s in the one event loop, the membership of 1.2 s lapsed, the append was refused, and the next daemon began the same pass. Beneath it, starts were decided long before they could be sent: up to 2,800 were queued for a worker before its first slow answer was noticed, and a small job waited behind them.

Change: ends, freed runs, dropped task records and stops are limited to 250 each in a pass, and the next one follows at once; at most 250 starts are under way. Runs of a worker are not freed while its reported ends are still to be recorded. A job ends with one record, and its tasks' records are dropped in parts afterwards. What is kept unread is folded in parts. Related paths that had the same cause: a gone worker with thousands of runs, a cancelled large job, a takeover, GET of a large job, the count of waiting jobs.

Ruled out: the link's budget (20,000 starts of 400 bytes are within its burst); the executors (idle all the time).

--- a/azurelanding/deferred_ledger.py
+++ b/azurelanding/deferred_ledger.py
@@ -7,15 +7,22 @@
 a controller or the fleet controller needs the whole ledger.
 
 The newest records of the keys are what a load of the stream yields, so they are folded
-in the order of a load.
+in the order of a load. There may be very many: who can wait has them folded a part at a
+time, so that the event loop stays free for what is urgent.
 """
 
 import collections
+import itertools
+
+import anyio
+import anyio.lowlevel
 
 from azurelanding.job_records import decode_key
 from azurelanding.record_faults import KEPT
 
 JOB_KINDS = frozenset(("work", "job", "cancel", "task", "end"))
+MAX_FOLDED_AT_ONCE_COUNT = 500
+"""Limit on the records that are folded before other tasks of the event loop run."""
 
 
 def job_of(text):
@@ -79,6 +86,32 @@
         for record in sorted(records, key=self.fold.load_order):
             self.faults.apply(self.topic, record, self.fold.apply_stored)
 
+    async def fold_job(self, job_id):
+        """Fold the records of a job, a part at a time.
+
+        Each part follows the load order. What is stored meanwhile comes last, where it
+        may come too: it is newer.
+        """
+        records = self.pending.get(job_id, {})
+        if len(records) > MAX_FOLDED_AT_ONCE_COUNT:
+            by_order = sorted(records.values(), key=self.fold.load_order)
+            self.pending[job_id] = {record.key: record for record in by_order}
+        while len(records := self.pending.get(job_id, {})) > MAX_FOLDED_AT_ONCE_COUNT:
+            part = list(itertools.islice(records, MAX_FOLDED_AT_ONCE_COUNT))
+            self._fold_records([records.pop(key) for key in part])
+            await anyio.lowlevel.checkpoint()
+        self.find(job_id)
+
+    async def fold_all(self):
+        """Fold all records, a part at a time."""
+        count = 0
+        for job_id in list(self.pending):
+            count += len(self.pending.get(job_id, ()))
+            await self.fold_job(job_id)
+            if count > MAX_FOLDED_AT_ONCE_COUNT:
+                count = 0
+                await anyio.lowlevel.checkpoint()
+
     def find(self, job_id):
         """Return the ``JobState`` of a job, or ``None``."""
         records = self.pending.pop(job_id, None)
--- a/azurelanding/fleet_controller.py
+++ b/azurelanding/fleet_controller.py
@@ -131,8 +131,9 @@
                 logger.info("fleet takeover delayed", reason=str(error))
                 await anyio.sleep(POLL_INTERVAL_SECONDS)
             else:
-                for stream in self.daemon.streams.values():
+                for stream in list(self.daemon.streams.values()):
                     stream.follower.hurry()
+                    await stream.fold_all()
                 self._set_orderable_times()
                 self._log_acquired(epoch)
                 return True
--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -1,4 +1,9 @@
-"""Collect the changes of one decision on a ledger before they are stored."""
+"""Collect the changes of one decision on a ledger before they are stored.
+
+A decision takes the time of the daemon's only event loop, which also renews leases and
+memberships. So each kind of change is limited; what is left is for the next decision,
+which follows as soon as this one is stored.
+"""
 
 import itertools
 
@@ -7,6 +12,9 @@
 from azurelanding.ledger import JobEnded, TaskChanged
 from azurelanding.pool_jobs import sum_usage
 
+MAX_CHANGES_PER_KIND_COUNT = 250
+"""Limit on the ends, the freed runs, the starts and the dropped tasks of a decision."""
+
 
 class JobDraft:
     """The jobs of a pool as they will be once the changes are stored.
@@ -16,7 +24,9 @@
     ``copies`` holds the copied jobs, ``changed`` the new task states, ``placed`` the
     runs on each worker on which they change, ``ended`` the ``JobEnded`` records,
     ``objectives`` the objectives in seconds of the ended jobs, ``extra`` the other new
-    records, and ``dropped_jobs`` the jobs whose records are deleted.
+    records, ``dropped_jobs`` the jobs whose records are deleted, and ``dropped_tasks``
+    the names of the tasks of ended jobs whose records are. ``is_cut`` is set once a
+    change is left to the next decision.
     """
 
     def __init__(self, ledger, pool):
@@ -29,6 +39,8 @@
         self.objectives = {}
         self.extra = []
         self.dropped_jobs = []
+        self.dropped_tasks = []
+        self.is_cut = False
 
     def job(self, job_id):
         """Return the ``JobState`` of a job that has not ended, or ``None``."""
@@ -105,14 +117,25 @@
         """Drop all records of a job whose retention has passed."""
         self.dropped_jobs.append(job_id)
 
+    def drop_ended_tasks(self):
+        """Drop the records of the tasks of ended jobs, those that end now among them.
+
+        They may be many: a job that has ended is over without it.
+        """
+        names = itertools.chain(
+            self.ledger.ended_tasks_of(self.pool),
+            (str(t) for job in self.ended for t in self.ledger.active[job].tasks),
+        )
+        self.dropped_tasks = list(itertools.islice(names, MAX_CHANGES_PER_KIND_COUNT))
+        self.is_cut = self.is_cut or next(names, None) is not None
+
     def add(self, record):
         """Add a record to be stored together with the changes."""
         self.extra.append(record)
 
     def _drops(self):
-        for job_id in self.ended:
-            for task_id in self.ledger.active[job_id].tasks:
-                yield encode_drop(("task", str(task_id)))
+        for name in self.dropped_tasks:
+            yield encode_drop(("task", name))
         for job_id in self.dropped_jobs:
             # A reader that has not read the rest yet must not find a job that goes on.
             for kind in ("job", "cancel", "end"):
--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -62,10 +62,15 @@
 
 
 def drop_expired_jobs(draft, retention, now):
-    """Drop the records of jobs that ended more than ``retention`` seconds ago."""
+    """Drop the records of jobs that ended more than ``retention`` seconds ago.
+
+    Those of their tasks have to be dropped before.
+    """
+    ended_tasks = draft.ledger.ended_tasks
     for job_id, state in draft.ledger.jobs.items():
         is_ended = state.outcome is not None and state.job.pool == draft.pool
-        if is_ended and now > state.ended_at + retention:
+        is_expired = is_ended and now > state.ended_at + retention
+        if is_expired and job_id not in ended_tasks:
             draft.drop_job(job_id)
 
 
--- a/azurelanding/job_placement.py
+++ b/azurelanding/job_placement.py
@@ -6,11 +6,12 @@
 """
 
 import enum
+import itertools
 import math
 
 import attrs
 
-from azurelanding.jobs import longest_chain, objective, task_ids
+from azurelanding.jobs import longest_chain, objective
 from azurelanding.tasks import Resources
 
 WORTHLESS_FACTOR = 3.0
@@ -118,15 +119,12 @@
         )
 
 
-def _startable(state, occurrence, number, step, is_backing_off):
-    """Return the tasks of a step that are neither done, active nor backing off."""
-    return tuple(
-        task_id
-        for task_id in task_ids(state.job.id, occurrence, number, step)
-        if not state.task(task_id).active
-        and not state.task(task_id).is_done
-        and not is_backing_off(task_id)
-    )
+def _startable(state, occurrence, number, is_backing_off, limit):
+    """Return up to ``limit`` tasks of a step, all of a gang, that may start now."""
+    waiting = state.waiting_tasks(occurrence, number)
+    startable = (task_id for task_id in waiting if not is_backing_off(task_id))
+    is_gang = state.job.steps[number].gang
+    return tuple(itertools.islice(startable, None if is_gang else limit))
 
 
 def _accept_all(_occurrence, _step):
@@ -149,17 +147,18 @@
                 yield occurrence, number, step
 
 
-def ready_steps(state, now, is_backing_off, accepts=_accept_all):
+def ready_steps(state, now, is_backing_off, accepts=_accept_all, limit=None):
     """Yield the ``ReadyStep``s of a job at ``now``, in seconds since the epoch.
 
     ``is_backing_off(task_id)`` returns whether a task still waits for its backoff after
     a refused start. A step is left out if ``accepts(occurrence, step)`` is false, which
-    is less work than to leave out its ``ReadyStep``.
+    is less work than to leave out its ``ReadyStep``. No more than ``limit`` tasks of a
+    step are listed, but all of a gang, which starts as a whole.
     """
     for occurrence, number, step in due_steps(state, now):
         if not accepts(occurrence, step):
             continue
-        tasks = _startable(state, occurrence, number, step, is_backing_off)
+        tasks = _startable(state, occurrence, number, is_backing_off, limit)
         if tasks:
             yield ReadyStep(state, occurrence, number, tasks)
 
--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -71,9 +71,10 @@
         self.has_moved = has_moved
         self.metrics = metrics
 
-    def _find(self, job_id):
+    async def _find(self, job_id):
         """Return the stream and state of a job as read so far, or two ``None``."""
         for stream in self.streams():
+            await stream.fold_job(job_id)
             state = stream.find(job_id)
             if state is not None:
                 return stream, state
@@ -90,17 +91,18 @@
         stream = self.stream_of(pool)
         try:
             await stream.follower.refresh_within(deadline - time.monotonic())
+            await stream.fold_job(job_id)
             state = stream.find(job_id)
             if state is not None:
                 return stream, state
             others = [s for s in self.streams_of_all_pools() if s is not stream]
             await _refresh_all(others, deadline)
         except StoreError as error:
-            found, state = self._find(job_id)
+            found, state = await self._find(job_id)
             if state is None:
                 raise StateUnknownError(str(error)) from error
             return found, state
-        return self._find(job_id)
+        return await self._find(job_id)
 
     async def _append(self, stream, records, timeout):
         """Store and apply records; return the ``Acceptance`` and a detail to log."""
@@ -120,7 +122,7 @@
         After a move of its queue an earlier attempt may be in the stream of another
         pool, where it would not be found as the same job. Raises ``StateUnknownError``.
         """
-        _, known = self._find(job.id)
+        _, known = await self._find(job.id)
         if known is None and self.has_moved(job.queue):
             _, known = await self._search(job.pool, job.id, deadline)
         return known
@@ -185,12 +187,15 @@
         ``timeout`` is in seconds. Raises ``StateUnknownError`` when the store can't be
         read within it and the job is not in any stream as read so far.
         """
-        _, state = self._find(job_id)
+        _, state = await self._find(job_id)
         if state is None or state.outcome is None:
             deadline = time.monotonic() + timeout
             _, state = await self._search(queue.pool, job_id, deadline)
         return None if state is None else state.phase
 
-    def pending(self, queue):
+    async def pending(self, queue):
         """Return the number of accepted jobs of a queue that have started no task."""
-        return sum(stream.ledger.pending(queue.name) for stream in self.streams())
+        streams = self.streams()
+        for stream in streams:
+            await stream.fold_all()
+        return sum(stream.ledger.pending(queue.name) for stream in streams)
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -177,8 +177,9 @@
     finished tasks by occurrence and step, ``taken`` those that are finished or have
     active runs, and ``failed_tasks`` the tasks that have no attempts left.
     ``running`` counts the tasks with active runs, ``running_by_step`` those of each
-    step; ``overdone`` holds those that are done nevertheless. ``position`` orders the
-    jobs of a ledger by their acceptance.
+    step; ``overdone`` holds those that are done nevertheless. ``first_waiting`` holds
+    by occurrence and step an index below which all tasks are done or running.
+    ``position`` orders the jobs of a ledger by their acceptance.
     """
 
     job: Job
@@ -192,6 +193,7 @@
     running: int = 0
     running_by_step: dict[int, int] = attrs.field(factory=dict)
     overdone: dict[TaskId, TaskState] = attrs.field(factory=dict)
+    first_waiting: dict[tuple[int, int], int] = attrs.field(factory=dict)
     position: int = 0
 
     def copy(self):
@@ -203,6 +205,7 @@
             taken=dict(self.taken),
             running_by_step=dict(self.running_by_step),
             overdone=dict(self.overdone),
+            first_waiting=dict(self.first_waiting),
         )
 
     def task(self, task_id):
@@ -214,6 +217,10 @@
         self._count(task_id, self.task(task_id), -1)
         self._count(task_id, state, 1)
         self.tasks[task_id] = state
+        if not (state.is_done or state.active):
+            key = (task_id.occurrence, task_id.step)
+            known = self.first_waiting.get(key, 0)
+            self.first_waiting[key] = min(known, task_id.index)
         if state.is_done and state.active:
             self.overdone[task_id] = state
         else:
@@ -232,7 +239,7 @@
     def drop_tasks(self):
         """Drop the states of the tasks of a job that has ended."""
         self.tasks, self.taken, self.overdone = {}, {}, {}
-        self.running, self.running_by_step = 0, {}
+        self.running, self.running_by_step, self.first_waiting = 0, {}, {}
 
     def _has_failed(self, task, number):
         if self.job.steps[number].long_running or task.is_done:
@@ -255,6 +262,22 @@
         step = self.job.steps[number]
         return step.count - self.taken.get((occurrence, number), 0)
 
+    def waiting_tasks(self, occurrence, number):
+        """Yield the ids of the tasks of a step that are neither done nor running.
+
+        The tasks before the first of them are not visited again.
+        """
+        key, count = (occurrence, number), self.job.steps[number].count
+        is_first = True
+        for index in range(self.first_waiting.get(key, 0), count):
+            task_id = TaskId(self.job.id, occurrence, number, index)
+            task = self.task(task_id)
+            if task.active or task.is_done:
+                continue
+            if is_first:
+                is_first, self.first_waiting[key] = False, index
+            yield task_id
+
     def running_cores(self):
         """Return the cores that the running tasks need, without those of fillers."""
         return sum(
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -119,7 +119,8 @@
     when. ``pools`` holds the ``PoolJobs`` of each pool, ``positions`` the next
     ``JobState.position``, and ``placed_versions`` changes with the runs in ``placed``
     on each worker. ``unstarted`` maps each queue to its jobs that have started no task
-    and may start some.
+    and may start some. ``ended_tasks`` maps ended jobs to the names of the tasks whose
+    records are still stored.
     """
 
     def __init__(self):
@@ -139,6 +140,7 @@
         self.positions = itertools.count()
         self.placed_versions = {}
         self.unstarted = collections.defaultdict(set)
+        self.ended_tasks = {}
 
     def apply(self, key, record, offset):
         """Apply one record, or drop its key if ``record`` is ``None``.
@@ -233,6 +235,7 @@
     def _set_task(self, record):
         state = self.active.get(record.task.job)
         if state is None:
+            self._note_ended_tasks(record.task.job, (record.task,))
             return
         if not state.job.has_task(record.task):
             raise StoredRecordError(f"job has no task {record.task}")
@@ -260,18 +263,35 @@
             return
         state.outcome, state.ended_at = record.outcome, record.at
         self._remove(record.job)
+        self._note_ended_tasks(record.job, state.tasks)
         state.drop_tasks()
         state.job = attrs.evolve(state.job, spec="", steps=())
 
+    def _note_ended_tasks(self, job_id, task_ids):
+        if task_ids:
+            names = self.ended_tasks.setdefault(job_id, {})
+            names.update((str(task_id), None) for task_id in task_ids)
+
     def _drop(self, key):
         kind, name = key
         if kind == "job":
             self._remove(name)
             self.jobs.pop(name, None)
+            self.ended_tasks.pop(name, None)
         elif kind == "work":
             self.works.pop(name, None)
+        elif kind == "task":
+            self._drop_ended_task(name)
         self.offsets.pop(key, None)
 
+    def _drop_ended_task(self, name):
+        job_id = name.partition(".")[0]
+        names = self.ended_tasks.get(job_id)
+        if names is not None:
+            names.pop(name, None)
+            if not names:
+                del self.ended_tasks[job_id]
+
     def jobs_of(self, pool):
         """Return the ``PoolJobs`` of a pool, with all its jobs sorted."""
         jobs = self.pools[pool]
@@ -287,6 +307,16 @@
         """Return the number of accepted jobs of ``queue`` that have started no task."""
         return len(self.unstarted.get(queue, ()))
 
+    def ended_tasks_of(self, pool):
+        """Yield the names of the stored tasks of ended jobs of a pool."""
+        for job_id, names in self.ended_tasks.items():
+            if self.jobs[job_id].job.pool == pool:
+                yield from names
+
+    def pools_with_ended_tasks(self):
+        """Return the names of the pools with stored tasks of ended jobs."""
+        return {self.jobs[job_id].job.pool for job_id in self.ended_tasks}
+
     def pools_with_jobs(self):
         """Return the names of the pools that have jobs that have not ended."""
         return {pool for pool, jobs in self.pools.items() if jobs.active}
--- a/azurelanding/platform/callers.py
+++ b/azurelanding/platform/callers.py
@@ -245,7 +245,7 @@
     if handler is None:
         await _reply(send, http.HTTPStatus.METHOD_NOT_ALLOWED)
     elif not job_id and handler is _get_state:
-        pending = context.service.pending(queue)
+        pending = await context.service.pending(queue)
         await _reply(send, http.HTTPStatus.OK, {"pending": pending})
     elif len(job_id) != JOB_ID_LENGTH or not JOB_ID_DIGITS.issuperset(job_id):
         await _reply(send, http.HTTPStatus.NOT_FOUND)
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -6,6 +6,8 @@
 ``lease_permission`` limits what a superseded controller does to the others.
 """
 
+import functools
+import itertools
 import time
 
 import anyio
@@ -14,7 +16,7 @@
 from azurelanding import evacuation, job_ends, job_placement, missing_workers
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
 from azurelanding.fleet_workers import WorkerPhase
-from azurelanding.job_draft import JobDraft
+from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
 from azurelanding.jobs import RunEnd
 from azurelanding.ledger import WorkersMissing, WorkersVacated
 from azurelanding.pool_links import PoolLinks
@@ -44,6 +46,11 @@
 """How long a worker gets no starts after it refused one for lack of free capacity."""
 TASK_BACKOFF_SECONDS = 0.5
 """How long a task is not placed again after a refused start."""
+MAX_UNANSWERED_STARTS_COUNT = 250
+"""Limit on the starts under way to the workers that tasks may be placed on. Orders go
+out in turn, so a more urgent start waits behind them."""
+ANSWER_CHECK_SECONDS = 0.05
+"""Time between two decisions while starts wait for the answers to earlier ones."""
 REPEAT_WAIT_LEASE_SHARE = 1 / 3
 """Longest wait of a repeated start for the budget, as a share of the longest lease."""
 
@@ -52,6 +59,11 @@
     """Another daemon has taken over the control of the pool."""
 
 
+def _with_ends_left(ends_read):
+    """Return the workers with ends that are left for the next decision."""
+    return {link.entry.id for link, number, _ in ends_read if number < max(link.ends)}
+
+
 class PoolController:
     """Controls one pool under one epoch until another daemon takes it over.
 
@@ -89,6 +101,7 @@
         )
         self.permits = daemon.make_start_permits()
         self.is_lost = False
+        self.waits_for_answers = False
         self.decision_scope = anyio.CancelScope()
         self.needs_decision = True
         self.decision_requested = Notifier()
@@ -169,8 +182,13 @@
 
     async def _decide_until_lost(self, task_group):
         while not self.is_lost:
+            longest = (
+                ANSWER_CHECK_SECONDS
+                if self.waits_for_answers
+                else CHECK_INTERVAL_SECONDS
+            )
             budget_wait = self.start_budget.seconds_to_wait(self, boot_time())
-            with anyio.move_on_after(min(CHECK_INTERVAL_SECONDS, budget_wait)):
+            with anyio.move_on_after(min(longest, budget_wait)):
                 await self.decision_requested.wait_until(lambda: self.needs_decision)
             if self.needs_decision:
                 await anyio.sleep(BATCH_SECONDS)
@@ -184,9 +202,10 @@
         """Compute a decision from the current state, store it, then send its orders."""
         draft = JobDraft(self.ledger, self.pool)
         ends_read = self._record_ends(draft)
-        self._free_lost_runs(draft)
+        self._free_lost_runs(draft, _with_ends_left(ends_read))
         self._record_cordoned(draft)
         job_ends.end_jobs(draft, time.time())
+        draft.drop_ended_tasks()
         self._drop_expired_jobs(draft)
         starts = self._place(draft)
         records = draft.records()
@@ -197,7 +216,9 @@
             link.acknowledge(number, born)
         for worker_id, order in starts:
             self.links[worker_id].enqueue(order)
-        self.stops.stop_unwanted()
+        has_stops_left = self.stops.stop_unwanted()
+        if draft.is_cut or has_stops_left:
+            self.wake()
         self.stops.stop_stalled()
         self._evacuate()
         self.stops.throttle_fillers()
@@ -240,22 +261,25 @@
             self.metrics.observe("job_seconds", seconds)
 
     def _record_ends(self, draft):
-        """Record the ends that workers report.
+        """Record the ends that workers report, as many of each as of the others.
 
         Returns for each link with ends the link, the highest number read from it and
         ``born`` of the incarnation that reported them.
         """
         ends_read = []
-        for link in self.links.values():
-            for number in sorted(link.ends):
+        links = [link for link in self.links.values() if link.ends]
+        share = max(1, MAX_CHANGES_PER_KIND_COUNT // max(1, len(links)))
+        for link in links:
+            numbers = sorted(link.ends)[:share]
+            draft.is_cut = draft.is_cut or len(numbers) < len(link.ends)
+            for number in numbers:
                 end = link.ends[number]
                 was_active = job_ends.record_run_end(
                     draft, end.task, end.run, end.end, end.checkpoint, link.entry.id
                 )
                 link.drop_run((end.task, end.run))
                 self._log_end(link, end, was_active)
-            if link.ends:
-                ends_read.append((link, max(link.ends), link.born))
+            ends_read.append((link, numbers[-1], link.born))
         return ends_read
 
     def _log_end(self, link, end, was_active):
@@ -269,25 +293,48 @@
         fields = {"end": end.end.value, "counted": was_active}
         log_run("run ended", link.entry.id, end.task, end.run, **fields)
 
-    def _free_lost_runs(self, draft):
-        """Free the runs that are certainly no longer in progress."""
+    def _free_lost_runs(self, draft, with_ends_left):
+        """Free the runs that are certainly no longer in progress.
+
+        Those on workers in ``with_ends_left`` wait: such a run may have been done.
+        """
         now, ended = boot_time(), self.daemon.fleet.ended()
-        for worker_id, link in list(self.links.items()):
+        self._mark_ended_workers(now, ended)
+        lost_runs = itertools.chain(
+            self._lost_runs(draft, with_ends_left, now),
+            self._lost_runs_of_missing(draft, now, ended),
+        )
+        count = 0
+        for free in itertools.islice(lost_runs, MAX_CHANGES_PER_KIND_COUNT):
+            free()
+            count += 1
+        draft.is_cut = draft.is_cut or count == MAX_CHANGES_PER_KIND_COUNT
+
+    def _mark_ended_workers(self, now, ended):
+        for worker_id, link in self.links.items():
             signs = self._signs_of_end(worker_id, ended)
             may_have_ended = any(signs) and not link.has_ended
             if may_have_ended and link.has_fallen_silent(signs, now):
                 link.mark_ended("its host was ordered or runs a later one")
-            for (task, run), refusal in link.not_started:
-                self._record_refusal(draft, link, task, run, refusal)
-            link.not_started = []
-            for task, run in link.lost_runs:
-                self._free(draft, link, task, run, "not listed by its worker")
-            link.lost_runs = []
+
+    def _lost_runs(self, draft, with_ends_left, now):
+        """Yield for each lost run on a linked worker the function that frees it."""
+        for worker_id, link in list(self.links.items()):
+            if worker_id in with_ends_left:
+                continue
+            while link.not_started:
+                (task, run), refusal = link.not_started.pop(0)
+                yield functools.partial(
+                    self._record_refusal, draft, link, task, run, refusal
+                )
+            while link.lost_runs:
+                task, run = link.lost_runs.pop(0)
+                reason = "not listed by its worker"
+                yield functools.partial(self._free, draft, link, task, run, reason)
             if link.has_ended or now > link.leased_until:
                 reason = "worker gone" if link.has_ended else "lease over"
                 for task, run in list(self.ledger.placed.get(worker_id, ())):
-                    self._free(draft, link, task, run, reason)
-        self._free_runs_of_missing(draft, now, ended)
+                    yield functools.partial(self._free, draft, link, task, run, reason)
 
     def _signs_of_end(self, worker_id, ended):
         """Return two signs that a worker has ended, each as a truth value.
@@ -297,12 +344,13 @@
         is_later_known = self.daemon.registry.has_later_incarnation(worker_id)
         return worker_id in ended, is_later_known
 
-    def _free_runs_of_missing(self, draft, now, ended):
-        """Free the runs on workers without a registry entry once their lease expired.
+    def _lost_runs_of_missing(self, draft, now, ended):
+        """Yield a function that frees it for each run on a worker without an entry.
 
-        The time from which a worker is missing is stored, so that a takeover does not
-        wait for a full lease again. A link to such a worker is only made after the
-        record no longer names it, because the link extends the lease.
+        Its lease must have expired. The time from which a worker is missing is stored,
+        so that a takeover does not wait for a full lease again. A link to such a worker
+        is only made after the record no longer names it, because the link extends the
+        lease.
         """
         registered = self.pool_links.registered
         runs = missing_workers.runs_by_missing_worker(
@@ -319,8 +367,11 @@
                 since, self.started_at, lease, now, wall_time
             ):
                 for task, run in runs[name]:
-                    job_ends.record_lost_run(draft, task, run)
-                    log_run("run freed", name, task, run, reason="no worker")
+                    yield functools.partial(self._free_missing, draft, name, task, run)
+
+    def _free_missing(self, draft, worker_id, task, run):
+        job_ends.record_lost_run(draft, task, run)
+        log_run("run freed", worker_id, task, run, reason="no worker")
 
     def _free(self, draft, link, task, run, reason):
         job_ends.record_lost_run(draft, task, run)
@@ -370,13 +421,18 @@
     def _place(self, draft):
         """Place the ready tasks; return pairs of a worker and its ``StartOrder``.
 
-        Tasks for which the link has no room now stay ready, the least urgent ones.
+        Tasks for which the link has no room now stay ready, the least urgent ones, and
+        so do those for which too many starts are under way.
         """
+        self.waits_for_answers = False
         if not draft.has_startable_jobs():
             self._record_held_back(0)
             return []
         now = time.time()
         free_capacity = self._free_capacity(draft, self.daemon.cordoned())
+        room = MAX_UNANSWERED_STARTS_COUNT - sum(
+            len(self.links[worker_id].start_times) for worker_id in free_capacity
+        )
         bounds = job_placement.FreeBounds(free_capacity.values())
         ready_steps = [
             ready
@@ -386,6 +442,7 @@
                 now,
                 self._is_backing_off,
                 lambda _occurrence, step: bounds.may_fit(step.need, step.fills),
+                MAX_UNANSWERED_STARTS_COUNT,
             )
         ]
         ready_steps.sort(key=lambda ready: job_placement.urgency(ready, now))
@@ -396,11 +453,13 @@
             limit = self.start_budget.affordable(
                 self, OVERHEAD_BYTES + len(ready.state.job.spec), boot_time()
             )
-            if not limit:
+            self.waits_for_answers = len(starts) >= room
+            if not limit or self.waits_for_answers:
                 break
             usable_workers = self.permits.usable_workers(
                 ready, free_capacity, self.wake
             )
+            limit = min(limit, room - len(starts))
             placed_tasks = job_placement.place(ready, usable_workers, limit)
             for placed in placed_tasks:
                 starts.append(self._start(draft, ready, placed))
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -63,12 +63,18 @@
                 continue
             link = self.links.get(worker_id)
             if link is not None and _needs_new_link(link, entry):
+                if link.ends:
+                    # They are recorded first, as the worker may be gone.
+                    continue
                 self._drop(worker_id)
                 link = None
             if link is None:
                 self._add(entry, task_group)
             elif link.entry != entry:
                 link.entry = entry
+        self._drop_unneeded()
+
+    def _drop_unneeded(self):
         for worker_id in list(self.links):
             is_needed = worker_id in self.registered or worker_id in self.ledger.placed
             if not is_needed:
--- a/azurelanding/pool_stops.py
+++ b/azurelanding/pool_stops.py
@@ -9,6 +9,8 @@
 
 logger = structlog.get_logger()
 
+MAX_STOPS_PER_PASS_COUNT = 250
+"""Limit on the stops that one pass orders, which takes the time of the event loop."""
 STOP_REPEAT_SECONDS = 0.6
 """Time after which a stop is repeated; longer than workers take to stop a run."""
 
@@ -37,12 +39,19 @@
         self.compared = {}
 
     def stop_unwanted(self):
-        """Stop runs that their jobs no longer need, and runs not found in the log."""
+        """Stop runs that their jobs no longer need, and runs not found in the log.
+
+        Returns whether there are more of them than one pass stops.
+        """
+        count = 0
         stopping = self.ledger.jobs_of(self.pool).stopping.values()
         for state in sorted(stopping, key=lambda state: state.position):
             for task_id, run, worker in job_ends.unwanted_runs(state):
-                self.stop(worker, task_id, run, "job over")
+                count += self.stop(worker, task_id, run, "job over")
+                if count >= MAX_STOPS_PER_PASS_COUNT:
+                    return True
         self._stop_unknown()
+        return False
 
     def _stop_unknown(self):
         """Stop runs not found in the log, on workers where something has changed."""
@@ -70,17 +79,21 @@
             self.stop(worker_id, task_id, run, reason)
 
     def stop(self, worker_id, task_id, run, reason):
-        """Order a stop, unless one was ordered within ``STOP_REPEAT_SECONDS``."""
+        """Order a stop, unless one was ordered within ``STOP_REPEAT_SECONDS``.
+
+        Returns whether it was ordered.
+        """
         link, now = self.links.get(worker_id), boot_time()
         if (
             link is None
             or now < link.stops.get((task_id, run), 0.0) + STOP_REPEAT_SECONDS
         ):
-            return
+            return False
         link.stops[task_id, run] = now
         link.enqueue(StopOrder(task_id, run))
         log_run("stop ordered", worker_id, task_id, run, reason=reason)
         self.metrics.count("stops")
+        return True
 
     def throttle_fillers(self):
         """Slow down the filler tasks beside tasks that miss their target."""
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -88,6 +88,14 @@
         """Return the ledger with all records read so far."""
         return self.deferred.whole()
 
+    async def fold_all(self):
+        """Fold what was read into the ledger, a part at a time."""
+        await self.deferred.fold_all()
+
+    async def fold_job(self, job_id):
+        """Fold what was read of a job into the ledger, a part at a time."""
+        await self.deferred.fold_job(job_id)
+
     def find(self, job_id):
         """Return the ``JobState`` of a job as read so far, or ``None``."""
         return self.deferred.find(job_id)
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -305,6 +305,7 @@
             if self.operator.configuration is not None:
                 for pool in self.operator.configuration.pools:
                     self.stream_of(pool)
+                await self._fold_held()
                 self._match_controllers()
             with anyio.move_on_after(1.0):
                 await self.operator.changes.wait()
@@ -314,10 +315,17 @@
         while True:
             for partition in self.member.held_partitions(TOPIC):
                 self._stream_at(partition)
+            await self._fold_held()
             self._match_controllers()
             with anyio.move_on_after(1.0):
                 await self.member.changes.wait()
 
+    async def _fold_held(self):
+        """Fold what was read of the assigned partitions, a part at a time."""
+        for partition in self.member.held_partitions(TOPIC):
+            if partition in self.streams:
+                await self.streams[partition].fold_all()
+
     def _assigned_pools(self):
         """Return the pools assigned to this daemon, with the epoch of each."""
         configuration = self.operator.configuration
@@ -326,7 +334,8 @@
         pools = set(configuration.pools_in_use())
         for partition in self.member.held_partitions(TOPIC):
             if partition in self.streams:
-                pools |= self.streams[partition].ledger.pools_with_jobs()
+                ledger = self.streams[partition].ledger
+                pools |= ledger.pools_with_jobs() | ledger.pools_with_ended_tasks()
         assigned = {}
         for pool in pools:
             partition = partition_of(pool, self.site.store.partitions)
--- a/azurelanding/tests/test_deferred_ledger.py
+++ b/azurelanding/tests/test_deferred_ledger.py
@@ -3,9 +3,13 @@
 import itertools
 import random
 
+import anyio
+import anyio.lowlevel
 import testtools
+from testtools.matchers import GreaterThan
 
-from azurelanding.deferred_ledger import DeferredLedger
+from azurelanding import deferred_ledger
+from azurelanding.deferred_ledger import MAX_FOLDED_AT_ONCE_COUNT, DeferredLedger
 from azurelanding.job_records import encode_drop, encode_record
 from azurelanding.jobs import JobOutcome, JobPhase, TaskId, TaskState
 from azurelanding.ledger import (
@@ -88,6 +92,60 @@
             expected = describe(at_once.ledger)
             self.assertEqual(expected, describe(deferred.whole()), seed)
 
+    def test_ledger_is_the_same_if_it_is_folded_a_part_at_a_time(self):
+        # The records of a large job were folded in one go, in which nothing else ran.
+        self.patch(deferred_ledger, "MAX_FOLDED_AT_ONCE_COUNT", 2)
+
+        async def store(deferred, records):
+            for record in records:
+                deferred.apply_stored(record)
+                await anyio.lowlevel.checkpoint()
+
+        async def scenario(seed):
+            at_once, deferred = LedgerFold(Ledger()), make_deferred()
+            records = interleave(random.Random(seed))
+            for record in records:
+                at_once.apply_stored(record)
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(store, deferred, records)
+                for number in (1, 5, 1, 7):
+                    await deferred.fold_job(f"{number:016x}")
+                    await deferred.fold_all()
+            await deferred.fold_all()
+            self.assertEqual({}, dict(deferred.pending), seed)
+            expected = describe(at_once.ledger)
+            self.assertEqual(expected, describe(deferred.whole()), seed)
+
+        for seed in SEEDS:
+            anyio.run(scenario, seed)
+
+    def test_other_tasks_run_while_a_large_job_is_folded(self):
+        count = 3 * MAX_FOLDED_AT_ONCE_COUNT
+        deferred, job = make_deferred(), make_job("a" * 16, (make_step(count),))
+        records = [encode_record(record) for record in submission_records(job)]
+        records += [
+            encode_record(TaskChanged(TaskId(job.id, 0, 0, n), TaskState(1, {1: "w"})))
+            for n in range(count)
+        ]
+        for offset, (key, value) in enumerate(records):
+            deferred.apply_stored(StoredRecord(key, value, offset))
+        turns = []
+
+        async def other():
+            while deferred.pending:
+                turns.append(len(deferred.pending[job.id]))
+                await anyio.lowlevel.checkpoint()
+
+        async def scenario():
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(other)
+                await anyio.lowlevel.checkpoint()
+                await deferred.fold_all()
+
+        anyio.run(scenario)
+        self.assertEqual(count, deferred.find(job.id).running)
+        self.assertThat(len(turns), GreaterThan(2))
+
     def test_question_for_a_job_folds_only_its_records(self):
         deferred = make_deferred()
         for number in range(3):
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -1,5 +1,6 @@
 """Test what is kept of a pool's jobs, so that a controller need not look at each."""
 
+import itertools
 import math
 
 import anyio
@@ -11,8 +12,8 @@
 
 from azurelanding import job_ends, job_placement, worker_holds
 from azurelanding.configuration import Configuration
-from azurelanding.job_draft import JobDraft
-from azurelanding.jobs import JobOutcome, TaskId, TaskState, task_ids
+from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
+from azurelanding.jobs import JobOutcome, RunEnd, TaskId, TaskState, task_ids
 from azurelanding.ledger import (
     JobCancelled,
     JobEnded,
@@ -21,15 +22,18 @@
     TaskChanged,
     record_key,
 )
-from azurelanding.pool_control import PoolController
+from azurelanding.pool_control import MAX_UNANSWERED_STARTS_COUNT, PoolController
 from azurelanding.pool_jobs import WorkerUsage
+from azurelanding.pool_stops import MAX_STOPS_PER_PASS_COUNT
 from azurelanding.pool_stream import PoolStream
 from azurelanding.standins.platform_worker import WorkerModel
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import World, make_job, make_queue, make_step
 from azurelanding.utils import boot_time
-from azurelanding.worker_calls import ListedRun, WorkerReport
+from azurelanding.worker_calls import ListedEnd, ListedRun, WorkerReport
 
+LARGE_COUNT = 1200
+"""Tasks of a job that is several times as large as what one pass changes."""
 POOLS = ("cuts", "previews")
 WORKERS = ("v", "w", "x")
 JOBS = [
@@ -155,6 +159,14 @@
             yield task_id
 
 
+def walk_waiting(state, number):
+    """Yield the tasks of a step's first occurrence that wait, by a walk over all."""
+    for task_id in task_ids(state.job.id, 0, number, state.job.steps[number]):
+        task = state.task(task_id)
+        if not (task.active or task.is_done):
+            yield task_id
+
+
 def walk_running_cores(state):
     """Return the cores of a job's running tasks, without fillers, by a walk."""
     steps = [state.job.steps[t.step] for t, task in state.tasks.items() if task.active]
@@ -226,7 +238,8 @@
             controller.ledger.apply(record_key(record), record, offset)
     for worker, link in controller.links.items():
         runs = [
-            ListedRun(*run, "", 0.5, 0.0) for run in controller.ledger.placed[worker]
+            ListedRun(*run, "", 0.5, 0.0)
+            for run in controller.ledger.placed.get(worker, ())
         ]
         worker_holds.apply_report(
             link, WorkerReport(1.0, 1, tuple(runs), ()), boot_time()
@@ -324,6 +337,145 @@
         self.assertEqual([], visits)
 
 
+class LongPassTest(testtools.TestCase):
+    """A pass with thousands of changes.
+
+    It held the event loop for seconds, in which the daemon lost the control of its
+    pools to another one, which then began the same pass.
+    """
+
+    def setUp(self):
+        super().setUp()
+        steps = (make_step(LARGE_COUNT, need=Resources(0.001, 1, 0)),)
+        self.job = make_job("1" * 16, steps)
+        self.controller = anyio.run(make_controller, ["v", "w"], [])
+        self.controller.stream.deferred.hold()
+        self.ledger = self.controller.ledger
+        self.ledger.apply(("job", self.job.id), JobSubmitted(self.job), 0)
+        self.tasks = list(task_ids(self.job.id, 0, 0, steps[0]))
+        self.end = 1
+        self.appends = []
+        self.patch(self.controller, "_store", self.store)
+        self.controller.permits.find_advice = lambda queue: None
+
+    async def store(self, records):
+        self.appends.append(len(records))
+        self.controller.stream.apply_appended(records, self.end)
+        self.end += len(records)
+        return True
+
+    def run_pass(self):
+        """Run one pass; return whether another one is to follow at once."""
+        self.controller.needs_decision = False
+        anyio.run(self.controller._decide)
+        return self.controller.needs_decision
+
+    def run_passes(self):
+        """Run one pass after the other while another one is to follow at once."""
+        for _ in range(50):
+            if not self.run_pass():
+                return
+        self.fail("the passes don't end")
+
+    def place_all(self):
+        """Record a run of each task on a worker, as an earlier controller did."""
+        for task in self.tasks:
+            record = TaskChanged(task, TaskState(1, {1: "vw"[task.index % 2]}))
+            self.ledger.apply(record_key(record), record, self.end)
+            self.end += 1
+
+    def test_starts_of_a_large_job_are_decided_a_part_at_a_time(self):
+        self.run_pass()
+        self.assertEqual([MAX_UNANSWERED_STARTS_COUNT], self.appends)
+        self.run_pass()
+        self.assertEqual([MAX_UNANSWERED_STARTS_COUNT], self.appends)
+        self.assertTrue(self.controller.waits_for_answers)
+
+    def test_answered_starts_make_room_for_others(self):
+        self.run_pass()
+        for link in self.controller.links.values():
+            for order in [order for _, order in link.orders.entries]:
+                link.record_started((order.task, order.run))
+        self.run_pass()
+        self.assertEqual([MAX_UNANSWERED_STARTS_COUNT] * 2, self.appends)
+        state = self.ledger.active[self.job.id]
+        self.assertEqual(2 * MAX_UNANSWERED_STARTS_COUNT, len(state.tasks))
+
+    def test_more_urgent_start_overtakes_those_of_a_large_job(self):
+        self.run_pass()
+        for link in self.controller.links.values():
+            link.start_times.clear()
+        urgent = make_job("2" * 16, priority=-1)
+        self.ledger.apply(("job", urgent.id), JobSubmitted(urgent), self.end + 5000)
+        self.end += 5001
+        self.run_pass()
+        self.assertTrue(self.ledger.active[urgent.id].running)
+
+    def report_all(self, end):
+        """Let the workers report that all tasks have ended."""
+        for worker, link in self.controller.links.items():
+            runs = list(self.ledger.placed[worker])
+            ends = [
+                ListedEnd(number, task, run, end, "")
+                for number, (task, run) in enumerate(runs, 1)
+            ]
+            worker_holds.apply_report(
+                link, WorkerReport(2.0, 1, (), tuple(ends)), boot_time()
+            )
+
+    def test_ends_of_a_large_job_are_recorded_a_part_at_a_time(self):
+        self.place_all()
+        self.report_all(RunEnd.DONE)
+        self.run_passes()
+        self.assertThat(max(self.appends), LessThan(2 * MAX_CHANGES_PER_KIND_COUNT + 9))
+        state = self.ledger.jobs[self.job.id]
+        self.assertIs(JobOutcome.COMPLETED, state.outcome)
+        self.assertEqual({}, self.ledger.ended_tasks)
+        kinds = {kind for kind, _ in self.ledger.offsets}
+        self.assertEqual({"job", "end"}, kinds)
+
+    def test_run_that_was_done_is_not_freed_before_its_end_is_recorded(self):
+        # The worker is gone, and its reported ends don't fit into one pass.
+        self.place_all()
+        self.report_all(RunEnd.DONE)
+        for link in self.controller.links.values():
+            link.mark_ended("test")
+        self.run_passes()
+        self.assertIs(JobOutcome.COMPLETED, self.ledger.jobs[self.job.id].outcome)
+
+    def test_runs_on_a_worker_that_is_gone_are_freed_a_part_at_a_time(self):
+        self.place_all()
+        self.controller.links["v"].mark_ended("test")
+        self.assertTrue(self.run_pass())
+        self.assertEqual([MAX_CHANGES_PER_KIND_COUNT], self.appends)
+        left = len(self.ledger.placed["v"])
+        self.assertEqual(LARGE_COUNT // 2 - MAX_CHANGES_PER_KIND_COUNT, left)
+
+    def test_runs_of_a_cancelled_job_are_stopped_a_part_at_a_time(self):
+        self.place_all()
+        record = JobCancelled(self.job.id, 2.0)
+        self.ledger.apply(record_key(record), record, self.end)
+        self.end += 1
+        links, counts = self.controller.links.values(), [0]
+        while self.run_pass():
+            counts.append(sum(len(link.orders) for link in links))
+        counts.append(sum(len(link.orders) for link in links))
+        self.assertEqual(LARGE_COUNT, counts[-1])
+        steps = [after - before for before, after in itertools.pairwise(counts)]
+        self.assertEqual(MAX_STOPS_PER_PASS_COUNT, max(steps))
+
+    def test_task_records_left_by_an_earlier_controller_are_dropped(self):
+        self.place_all()
+        record = JobEnded(self.job.id, JobOutcome.CANCELLED, 3.0)
+        self.ledger.apply(record_key(record), record, self.end)
+        self.end += 1
+        self.assertEqual({"cuts"}, self.ledger.pools_with_ended_tasks())
+        self.run_passes()
+        self.assertThat(max(self.appends), LessThan(MAX_CHANGES_PER_KIND_COUNT + 9))
+        self.assertEqual({"job", "end"}, {kind for kind, _ in self.ledger.offsets})
+        self.assertEqual(set(), self.ledger.pools_with_ended_tasks())
+
+
 class RandomHistoryTest(testtools.TestCase):
     """What is kept, against walks over all jobs and runs."""
 
@@ -339,6 +491,9 @@
         self.assertEqual(len(unstarted), ledger.pending("q"))
         for state in walk(draft):
             self.assertEqual(walk_running_cores(state), state.running_cores())
+            for number in range(len(state.job.steps)):
+                waiting = list(state.waiting_tasks(0, number))
+                self.assertEqual(list(walk_waiting(state, number)), waiting)
         states = walk(draft)
         self.assertEqual([s for s in states if walk_may_end(s)], draft.jobs_to_end())
         stopping = {state.job.id for state in stored if any(walk_unwanted(state))}
--- a/azurelanding/tests/test_site_rules.py
+++ b/azurelanding/tests/test_site_rules.py
@@ -152,7 +152,7 @@
                 await submit(self.world, waiting)
                 daemon = await self.start_daemon(task_group)
                 with anyio.fail_after(3.0):
-                    while daemon.service.pending(self.moved) != 1:  # noqa: ASYNC110
+                    while await daemon.service.pending(self.moved) != 1:  # noqa: ASYNC110
                         await anyio.sleep(0.02)
                 task_group.cancel_scope.cancel()
 
