A submission that is stored after its cancellation starts nothing

The append of a submission got no answer, the caller left and cancelled the job at another daemon, which answered 410. The append was carried out later, and the job's tasks ran with nobody left to cancel them.

Cause: the cancellation of a job that is in no stream stored nothing, so it had no effect on a submission that was under way.

Change: it is stored, and answered with 410 after that. The fold keeps it until the job becomes known, which is then a cancelled one. For a queue that may have moved lately it is stored for all pools, as the submission may go to an earlier one. It is dropped after the time for which ended jobs are kept. Ruled out: giving up the repeats of an append whose caller has left, as the store may carry out the first attempt by itself.

Related paths: a repeated DELETE stores nothing again; a POST after it is answered with 200 and shown as cancelled; a cancellation that is lost on the way is answered with 503 or 504 as before.

--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -24,9 +24,10 @@
     ``copies`` holds the copied jobs, ``changed`` the new task states, ``placed`` the
     runs on each worker on which they change, ``ended`` the ``JobEnded`` records,
     ``objectives`` the objectives in seconds of the ended jobs, ``extra`` the other new
-    records, ``dropped_jobs`` the jobs whose records are deleted, and ``dropped_tasks``
-    the names of the tasks of ended jobs whose records are. ``is_cut`` is set once a
-    change is left to the next decision.
+    records, ``dropped_jobs`` the jobs whose records are deleted,
+    ``dropped_cancellations`` those of which only the cancellation is, and
+    ``dropped_tasks`` the names of the tasks of ended jobs whose records are. ``is_cut``
+    is set once a change is left to the next decision.
     """
 
     def __init__(self, ledger, pool):
@@ -39,6 +40,7 @@
         self.objectives = {}
         self.extra = []
         self.dropped_jobs = []
+        self.dropped_cancellations = []
         self.dropped_tasks = []
         self.is_cut = False
 
@@ -117,6 +119,10 @@
         """Drop all records of a job whose retention has passed."""
         self.dropped_jobs.append(job_id)
 
+    def drop_cancellation(self, job_id):
+        """Drop the cancellation of a job that has not become known."""
+        self.dropped_cancellations.append(job_id)
+
     def drop_ended_tasks(self):
         """Drop the records of the tasks of ended jobs, those that end now among them.
 
@@ -140,6 +146,8 @@
             # A reader that has not read the rest yet must not find a job that goes on.
             for kind in ("job", "cancel", "end"):
                 yield encode_drop((kind, job_id))
+        for job_id in self.dropped_cancellations:
+            yield encode_drop(("cancel", job_id))
         # A submission that is repeated after the end stores the work again.
         for job_id in (*self.ended, *self.dropped_jobs):
             if ("work", job_id) in self.ledger.offsets:
--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -64,7 +64,8 @@
 def drop_expired_jobs(draft, retention, now):
     """Drop the records of jobs that ended more than ``retention`` seconds ago.
 
-    Those of their tasks have to be dropped before.
+    Those of their tasks have to be dropped before. Cancellations of jobs that have not
+    become known are dropped after the same time.
     """
     ended_tasks = draft.ledger.ended_tasks
     for job_id, state in draft.ledger.jobs.items():
@@ -72,6 +73,9 @@
         is_expired = is_ended and now > state.ended_at + retention
         if is_expired and job_id not in ended_tasks:
             draft.drop_job(job_id)
+    for job_id, cancellation in draft.ledger.early_cancellations.items():
+        if now > cancellation.at + retention:
+            draft.drop_cancellation(job_id)
 
 
 def unwanted_runs(state):
--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -159,8 +159,31 @@
         )
         return acceptance
 
+    async def _cancel_unknown(self, queue, job_id, deadline):
+        """Store the cancellation of a job that is in no stream.
+
+        An earlier attempt to submit it, which its caller has given up, may still be
+        stored: in the stream of the queue's pool, or of one that it has moved from.
+        """
+        streams = [self.stream_of(queue.pool)]
+        if self.has_moved(queue.name):
+            others = self.streams_of_all_pools()
+            streams += [stream for stream in others if stream is not streams[0]]
+        for stream in streams:
+            if stream.is_cancelled_early(job_id):
+                continue
+            records = (JobCancelled(job_id, time.time()),)
+            max_wait = deadline - time.monotonic()
+            acceptance, detail = await self._append(stream, records, max_wait)
+            if acceptance is not Acceptance.ACCEPTED:
+                return acceptance, detail
+        return Acceptance.NO_JOB, f"stored for {len(streams)} partitions"
+
     async def cancel(self, queue, job_id, timeout):
-        """Cancel a job; return the ``Acceptance``. ``timeout`` is in seconds."""
+        """Cancel a job; return the ``Acceptance``. ``timeout`` is in seconds.
+
+        A job that is not known is cancelled too, should it become known.
+        """
         deadline = time.monotonic() + timeout
         try:
             stream, state = await self._search(queue.pool, job_id, deadline)
@@ -168,7 +191,7 @@
             logger.info("cancellation refused", job=job_id, reason=str(error))
             return Acceptance.REFUSED
         if state is None:
-            acceptance, detail = Acceptance.NO_JOB, ""
+            acceptance, detail = await self._cancel_unknown(queue, job_id, deadline)
         elif state.cancelled_at is not None or state.outcome is not None:
             acceptance, detail = Acceptance.ACCEPTED, state.phase.value
         else:
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -120,7 +120,8 @@
     ``JobState.position``, and ``placed_versions`` changes with the runs in ``placed``
     on each worker. ``unstarted`` maps each queue to its jobs that have started no task
     and may start some. ``ended_tasks`` maps ended jobs to the names of the tasks whose
-    records are still stored.
+    records are still stored. ``early_cancellations`` holds the ``JobCancelled`` of jobs
+    that are not known: a submission that is stored after it starts nothing.
     """
 
     def __init__(self):
@@ -141,12 +142,14 @@
         self.placed_versions = {}
         self.unstarted = collections.defaultdict(set)
         self.ended_tasks = {}
+        self.early_cancellations = {}
 
     def apply(self, key, record, offset):
         """Apply one record, or drop its key if ``record`` is ``None``.
 
         A record on a job that is not known yet, or of a task whose job has no work yet,
-        has no effect, also not on the same record when it is read again after them.
+        has no effect, also not on the same record when it is read again after them. But
+        a cancellation counts for a job that becomes known later.
         Raises ``StoredRecordError`` for a task that its job doesn't have.
         """
         if offset <= self.offsets.get(key, -1) or self._is_premature(record):
@@ -180,13 +183,15 @@
                 return record.task.job not in self.active and (
                     state is None or state.outcome is None
                 )
-            case JobCancelled() | JobEnded():
+            case JobEnded():
                 return record.job not in self.jobs
         return False
 
     def _submit(self, job):
         if job.id not in self.jobs:
-            self.jobs[job.id] = JobState(job)
+            early = self.early_cancellations.pop(job.id, None)
+            cancelled_at = None if early is None else early.at
+            self.jobs[job.id] = JobState(job, cancelled_at=cancelled_at)
             self._activate(job.id)
 
     def _activate(self, job_id):
@@ -226,8 +231,10 @@
             self.unstarted[state.job.queue].discard(job_id)
 
     def _cancel(self, record):
-        state = self.jobs[record.job]
-        if state.cancelled_at is None:
+        state = self.jobs.get(record.job)
+        if state is None:
+            self.early_cancellations.setdefault(record.job, record)
+        elif state.cancelled_at is None:
             state.cancelled_at = record.at
             if record.job in self.active:
                 self._note_change(state)
@@ -280,6 +287,8 @@
             self.ended_tasks.pop(name, None)
         elif kind == "work":
             self.works.pop(name, None)
+        elif kind == "cancel":
+            self.early_cancellations.pop(name, None)
         elif kind == "task":
             self._drop_ended_task(name)
         self.offsets.pop(key, None)
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -100,6 +100,12 @@
         """Return the ``JobState`` of a job as read so far, or ``None``."""
         return self.deferred.find(job_id)
 
+    def is_cancelled_early(self, job_id):
+        """Return whether a job was cancelled that is not known, as read so far."""
+        return self.find(job_id) is None and (
+            job_id in self.deferred.fold.ledger.early_cancellations
+        )
+
     @contextlib.contextmanager
     def held(self):
         """Keep the ledger up to date with each record that is read."""
--- a/azurelanding/tests/test_ledger.py
+++ b/azurelanding/tests/test_ledger.py
@@ -111,6 +111,27 @@
         fold(ledger, JobCancelled(other.id, 3.0), start=2)
         self.assertEqual(1, ledger.pending("q"))
 
+    def test_job_is_cancelled_in_any_order_of_its_records(self):
+        # A submission may be stored long after its caller has left and cancelled it.
+        records = (*submission_records(JOB), JobCancelled(JOB.id, 3.0))
+        for order in itertools.permutations(records):
+            ledger = fold(Ledger(), *order)
+            self.assertEqual(JobPhase.CANCELLED, ledger.jobs[JOB.id].phase)
+            draft = JobDraft(ledger, "cuts")
+            self.assertEqual([JOB.id], [s.job.id for s in draft.jobs_to_end()])
+            self.assertEqual(0, ledger.pending("q"))
+            self.assertEqual({}, ledger.early_cancellations)
+
+    def test_early_cancellation_is_dropped_after_its_retention(self):
+        ledger = fold(Ledger(), JobCancelled(JOB.id, 3.0))
+        for now, dropped in ((122.0, 0), (124.0, 1)):
+            draft = JobDraft(ledger, "cuts")
+            job_ends.drop_expired_jobs(draft, 120.0, now)
+            self.assertEqual(dropped, len(draft.records()))
+        ((text, value),) = draft.records()
+        ledger.apply(*decode_record(text, value), 1)
+        self.assertEqual(({}, {}), (ledger.early_cancellations, ledger.offsets))
+
     def test_unreadable_record_is_skipped(self):
         ledger_fold = LedgerFold(Ledger())
         faults = RecordFaults()
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -482,6 +482,42 @@
 
         self.run_site(scenario)
 
+    def test_submission_stored_after_its_cancellation_never_starts(self):
+        # Its job ran on, with nobody left who would cancel it.
+        job = make_job(steps=(make_step(4),))
+
+        async def scenario(world):
+            first, second = world.daemons
+            for daemon in world.daemons:
+                await until(daemon.is_ready)
+            world.store.knobs.delay_appends = 5
+            self.assertIs(Acceptance.UNKNOWN, await first.service.submit(job, 0.2))
+            answer = await second.service.cancel(QUEUE, job.id, 5.0)
+            self.assertIn(answer, (Acceptance.ACCEPTED, Acceptance.NO_JOB))
+            await until_phase(world, job, JobPhase.CANCELLED)
+            await anyio.sleep(0.5)
+
+        world = self.run_site(scenario, daemons=2)
+        self.assertEqual({}, count_starts(world, job))
+
+    def test_cancellation_of_an_unknown_job_says_so_and_is_dropped_later(self):
+        async def scenario(world):
+            (daemon,) = world.daemons
+            await until(lambda: daemon.controllers)
+            for _ in range(2):
+                answer = await daemon.service.cancel(QUEUE, "f" * 16, 5.0)
+                self.assertIs(Acceptance.NO_JOB, answer)
+            self.assertIsNone(await daemon.service.phase(QUEUE, "f" * 16, 5.0))
+            partition = world.store.partitions["jobs", partition_of(QUEUE.pool, 4)]
+            self.assertIn(f"cancel/{'f' * 16}", partition.newest)
+            self.assertEqual(1, partition.end)
+            daemon.site = attrs.evolve(
+                daemon.site, timing=attrs.evolve(daemon.site.timing, retention=-5.0)
+            )
+            await until(lambda: not partition.newest)
+
+        self.run_site(scenario)
+
     def test_submission_refused_while_the_store_is_down_never_starts(self):
         job = make_job()
 
--- a/azurelanding/tests/test_site_rules.py
+++ b/azurelanding/tests/test_site_rules.py
@@ -142,6 +142,23 @@
         anyio.run(main)
         self.assertEqual([1], list(count_starts(self.world, self.job).values()))
 
+    def test_submission_to_the_earlier_pool_stored_after_its_cancellation(self):
+        # The cancellation has to be known in the pool where the job may turn up.
+        late = make_job("b" * 16)
+
+        async def scenario(world):
+            await until(lambda: all(d.controllers for d in world.daemons))
+            world.configure(self.moved, pools=(QUEUE.pool,), version=2)
+            (daemon,) = world.daemons
+            await until(lambda: daemon.operator.configuration.version == 2)
+            answer = await daemon.service.cancel(self.moved, late.id, 5.0)
+            self.assertIs(Acceptance.NO_JOB, answer)
+            await submit(world, late)
+            await until_phase(world, late, JobPhase.CANCELLED)
+
+        anyio.run(self.world.run, scenario, 1)
+        self.assertEqual({}, count_starts(self.world, late))
+
     def test_daemon_that_starts_after_the_move_counts_the_waiting_jobs(self):
         # The jobs of the earlier pool were left out unless the daemon controlled it.
         waiting = make_job("a" * 16, steps=(make_step(need=Resources(64.0, 1, 0)),))
