A job is pending until a worker has told of a start

While the executors of a service refused starts with 503, GET PREFIX said 0 pending for 20 jobs of which no task had started, and each was shown as running.

Cause: a job counted as begun once a task of it had a record. That record is written when the start is decided, and stays when the start is refused, is never sent or finds no worker that answers.

Ruled out: taking back the record of a refused start, as a start without an answer would still count.

Tests: both new tests of pending jobs failed before (1 != 0) and pass after, and so does test_job_is_pending_until_a_worker_has_told_of_a_start. Four existing tests wrote the record of a decision and expected a running job (test_ledger, two) or a job that is not pending (test_pool_jobs, two): their records now say that the worker has told so, and the count is compared with a walk over that, so they ask as much as before.

--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -19,6 +19,7 @@
     if state is None or run not in state.task(task_id).active:
         return False
     task = _without_run(state.task(task_id), run)
+    task.was_reported = True
     step = state.job.steps[task_id.step]
     if checkpoint:
         task.checkpoint = checkpoint
@@ -42,6 +43,15 @@
         draft.set_task(member, task)
 
 
+def record_begin(draft, task_id):
+    """Record that a worker has begun a run of a task, if none of its job had."""
+    state = draft.job(task_id.job)
+    if state is not None and not state.begun:
+        task = state.task(task_id).copy()
+        task.was_reported = True
+        draft.set_task(task_id, task)
+
+
 def record_lost_run(draft, task_id, run):
     """Record that a run can't be in progress any more although no end was reported."""
     state = draft.job(task_id.job)
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -149,8 +149,10 @@
 class TaskState:
     """The recorded state of one task.
 
-    ``last_run`` is the number of its latest start. ``active`` maps each run that may
-    be in progress to its worker. ``failed_on`` names the workers on which a run failed.
+    ``last_run`` is the number of its latest start that was decided. ``active`` maps
+    each run that may be in progress to its worker. ``failed_on`` names the workers on
+    which a run failed. ``was_reported`` is set once a worker has told that it has begun
+    a run: a start that was decided may be refused, or never arrive.
     """
 
     last_run: int = 0
@@ -159,6 +161,12 @@
     failed_on: tuple[str, ...] = ()
     is_done: bool = False
     checkpoint: str = ""
+    was_reported: bool = False
+
+    @property
+    def has_begun(self):
+        """Return whether a run of the task is known to have begun."""
+        return self.was_reported or self.is_done or self.failures > 0
 
     def copy(self):
         """Return an independent copy."""
@@ -173,7 +181,8 @@
 class JobState:
     """A job and its recorded state.
 
-    ``tasks`` holds the tasks that were started at least once. ``done`` counts the
+    ``tasks`` holds the tasks for which a start was decided at least once. ``begun``
+    counts those that have begun. ``done`` counts the
     finished tasks by occurrence and step, ``taken`` those that are finished or have
     active runs, and ``failed_tasks`` the tasks that have no attempts left.
     ``running`` counts the tasks with active runs, ``running_by_step`` those of each
@@ -188,6 +197,7 @@
     cancelled_at: float | None = None
     outcome: JobOutcome | None = None
     ended_at: float = 0.0
+    begun: int = 0
     failed_tasks: int = 0
     taken: dict[tuple[int, int], int] = attrs.field(factory=dict)
     running: int = 0
@@ -228,6 +238,7 @@
 
     def _count(self, task_id, state, sign):
         key, is_running = (task_id.occurrence, task_id.step), bool(state.active)
+        self.begun += sign * state.has_begun
         self.failed_tasks += sign * self._has_failed(state, task_id.step)
         self.done[key] = self.done.get(key, 0) + sign * state.is_done
         is_taken = state.is_done or is_running
@@ -325,7 +336,7 @@
             return JobPhase.CANCELLED
         if self.failed_tasks:
             return JobPhase.FAILED
-        return JobPhase.RUNNING if self.tasks else JobPhase.QUEUED
+        return JobPhase.RUNNING if self.begun else JobPhase.QUEUED
 
     def all_done(self):
         """Return whether every task of every occurrence is done."""
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -215,7 +215,7 @@
     def _note_change(self, state):
         """Note that an active job was added or has changed."""
         self.pools[state.job.pool].put(state)
-        if state.tasks or state.is_over:
+        if state.begun or state.is_over:
             self.unstarted[state.job.queue].discard(state.job.id)
         else:
             self.unstarted[state.job.queue].add(state.job.id)
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -202,6 +202,7 @@
         """Compute a decision from the current state, store it, then send its orders."""
         draft = JobDraft(self.ledger, self.pool)
         ends_read = self._record_ends(draft)
+        self._record_begun_jobs(draft)
         self._free_lost_runs(draft, _with_ends_left(ends_read))
         self._record_cordoned(draft)
         job_ends.end_jobs(draft, time.time())
@@ -293,6 +294,11 @@
         fields = {"end": end.end.value, "counted": was_active}
         log_run("run ended", link.entry.id, end.task, end.run, **fields)
 
+    def _record_begun_jobs(self, draft):
+        begun, self.pool_links.begun = self.pool_links.begun, {}
+        for task_id in begun.values():
+            job_ends.record_begin(draft, task_id)
+
     def _free_lost_runs(self, draft, with_ends_left):
         """Free the runs that are certainly no longer in progress.
 
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -25,6 +25,7 @@
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
     ``late_starts`` maps the workers whose link was dropped while it had unanswered
     starts to these and to ``born`` of the incarnation that may still carry them out.
+    ``begun`` maps jobs that were not known to have begun to a task that has.
     ``controller`` holds what the links use of the controller, such as ``wake``,
     ``end_control`` and ``charge_repeat``.
     """
@@ -43,6 +44,7 @@
             notify=wake,
             end_control=end_control,
             is_startable=self._is_startable,
+            record_begin=self._record_begin,
             charge_repeat=charge_repeat,
             is_leaving=self._is_leaving,
             watch=self.watch,
@@ -51,6 +53,7 @@
         self.scopes = {}
         self.late_starts = {}
         self.registered = {}
+        self.begun = {}
 
     def reconcile(self, task_group):
         """Add links to newly registered workers, and drop the links not needed."""
@@ -111,6 +114,11 @@
             or worker_id in self.daemon.cordoned()
         )
 
+    def _record_begin(self, task_id):
+        state = self.ledger.active.get(task_id.job)
+        if state is not None and not state.begun:
+            self.begun[task_id.job] = task_id
+
     def _is_startable(self, task_id):
         """Return whether the job of a placed task is still active."""
         state = self.ledger.active.get(task_id.job)
--- a/azurelanding/site_report.py
+++ b/azurelanding/site_report.py
@@ -112,7 +112,7 @@
                 len(state.registry.in_pool(pool)),
                 sum(len(task.active) for job in jobs for task in job.tasks.values()),
                 len(jobs),
-                sum(not job.tasks and not job.is_over for job in jobs),
+                sum(not job.begun and not job.is_over for job in jobs),
             )
         )
     return summaries
--- a/azurelanding/standins/platform_worker.py
+++ b/azurelanding/standins/platform_worker.py
@@ -36,8 +36,8 @@
     progress and don't end.
     ``tail_latency_ms`` is the high percentile of response times, in milliseconds, that
     the worker reports for its runs while none is throttled; it is multiplied by the
-    lowest share in ``paces``. ``refuse`` refuses every call for that reason. A report
-    has at most ``ends_per_report`` ends.
+    lowest share in ``paces``. ``refuse`` refuses every call for that reason, and
+    ``refuse_starts`` every start. A report has at most ``ends_per_report`` ends.
     """
 
     run_time: float = 0.05
@@ -51,6 +51,7 @@
     stalled: bool = False
     tail_latency_ms: float = 0.0
     refuse: Refusal | None = None
+    refuse_starts: Refusal | None = None
     ends_per_report: int = 500
 
 
@@ -258,6 +259,9 @@
         """Start a run."""
         await anyio.sleep(self.fleet.models[self.worker.id].knobs.start_delay)
         model = await self._begin_call()
+        if model.knobs.refuse_starts is not None:
+            reason = "refused by the fault settings"
+            raise WorkerRefusedError(reason, model.knobs.refuse_starts)
         long_running = order.task.job in self.fleet.long_running
         if model.knobs.late_starts:
             model.knobs.late_starts -= 1
--- a/azurelanding/tests/test_ledger.py
+++ b/azurelanding/tests/test_ledger.py
@@ -38,7 +38,7 @@
     """Records that are repeated, out of order, dropped or unreadable."""
 
     def test_repeated_submission_is_one_job(self):
-        running = TaskChanged(FIRST, TaskState(1, {1: "w"}))
+        running = TaskChanged(FIRST, TaskState(1, {1: "w"}, was_reported=True))
         ledger = fold(Ledger(), JobSubmitted(JOB), running, JobSubmitted(JOB))
         self.assertEqual(JobPhase.RUNNING, ledger.jobs[JOB.id].phase)
         self.assertEqual({(FIRST, 1): None}, ledger.placed["w"])
@@ -67,7 +67,7 @@
     def test_task_record_that_precedes_its_job_counts_when_read_again(self):
         # The pages of a load are read one after another: a later one can hold a task
         # whose job was stored after the page with the jobs was read.
-        placed = TaskChanged(FIRST, TaskState(1, {1: "w"}))
+        placed = TaskChanged(FIRST, TaskState(1, {1: "w"}, was_reported=True))
         ledger = Ledger()
         ledger.apply(record_key(placed), placed, 8)
         fold(ledger, JobSubmitted(JOB), placed, start=7)
@@ -111,6 +111,24 @@
         fold(ledger, JobCancelled(other.id, 3.0), start=2)
         self.assertEqual(1, ledger.pending("q"))
 
+    def test_job_is_pending_until_a_worker_has_told_of_a_start(self):
+        # A start that is decided may be refused, be lost with its worker or never sent.
+        ledger = fold(Ledger(), JobSubmitted(JOB))
+        for number, (state, pending) in enumerate(
+            (
+                (TaskState(1, {1: "w"}), 1),
+                (TaskState(1), 1),
+                (TaskState(2, {2: "w"}, was_reported=True), 0),
+                (TaskState(2, was_reported=True), 0),
+                (TaskState(3, {3: "w"}, was_reported=True), 0),
+            ),
+            1,
+        ):
+            fold(ledger, TaskChanged(FIRST, state), start=number)
+            self.assertEqual(pending, ledger.pending("q"))
+            phase = JobPhase.QUEUED if pending else JobPhase.RUNNING
+            self.assertEqual(phase, ledger.jobs[JOB.id].phase)
+
     def test_job_is_cancelled_in_any_order_of_its_records(self):
         # A submission may be stored long after its caller has left and cancelled it.
         records = (*submission_records(JOB), JobCancelled(JOB.id, 3.0))
--- a/azurelanding/tests/test_pool_control.py
+++ b/azurelanding/tests/test_pool_control.py
@@ -25,6 +25,7 @@
     until,
 )
 from azurelanding.utils import boot_time
+from azurelanding.worker_calls import Refusal
 
 QUEUE = make_queue()
 
@@ -105,6 +106,45 @@
         world = self.run_site(scenario, daemons=2)
         self.assertEqual([1], list(count_starts(world, job).values()))
 
+    def check_not_begun(self, make_fault):
+        """Check that a job waits as long as ``make_fault(model)`` keeps it from it."""
+        job = make_job(steps=(make_step(2),))
+
+        async def scenario(world):
+            (model,) = world.fleet.models.values()
+            model.knobs.run_time = 60.0
+            daemon = world.daemons[1]
+            await until(lambda: any(d.controllers for d in world.daemons))
+            await until(lambda: daemon.is_ready())
+            recover = make_fault(model)
+            await submit(world, job)
+            # Other daemons read what they don't decide by every 1.6 s.
+            await anyio.sleep(2.5)
+            self.assertEqual({}, count_starts(world, job))
+            self.assertEqual(1, await daemon.service.pending(QUEUE))
+            await until_phase(world, job, JobPhase.QUEUED, 1)
+            recover()
+            await until_phase(world, job, JobPhase.RUNNING, 1)
+            self.assertEqual(0, await daemon.service.pending(QUEUE))
+            self.assertEqual(2, len(count_starts(world, job)))
+
+        self.run_site(scenario, daemons=2, workers=1, lease=6.0)
+
+    def test_job_whose_starts_are_refused_is_pending(self):
+        # It was counted as begun once its first start was decided.
+        def refuse_starts(model):
+            model.knobs.refuse_starts = Refusal.UNHEALTHY
+            return lambda: setattr(model.knobs, "refuse_starts", None)
+
+        self.check_not_begun(refuse_starts)
+
+    def test_job_whose_starts_are_not_answered_is_pending(self):
+        def hold_starts(model):
+            model.knobs.late_starts = 1000
+            return lambda: setattr(model.knobs, "late_starts", 0)
+
+        self.check_not_begun(hold_starts)
+
     def test_lost_answers_start_no_task_twice(self):
         job = make_job(steps=(make_step(6),))
 
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -50,7 +50,10 @@
     )
     for number in range(4)
 ]
-ACTIONS = ("submit", "free", "fail", "done", "cancel", "end", "drop", *("place",) * 6)
+ACTIONS = (
+    *("submit", "free", "fail", "done", "begin", "cancel", "end", "drop"),
+    *("place",) * 6,
+)
 
 HISTORIES = st.lists(
     st.tuples(
@@ -72,6 +75,8 @@
     if action == "place":
         task.last_run += 1
         task.active[task.last_run] = worker
+    elif action == "begin":
+        task.was_reported = task.was_reported or bool(task.active)
     elif task.active:
         task.active.popitem()
     task.failures += action == "fail"
@@ -234,7 +239,8 @@
         controller.ledger.apply(("job", job.id), JobSubmitted(job), offset)
         for index in range(2):
             worker = workers[(2 * offset + index) % len(workers)]
-            record = TaskChanged(TaskId(job.id, 0, 0, index), TaskState(1, {1: worker}))
+            state = TaskState(1, {1: worker}, was_reported=True)
+            record = TaskChanged(TaskId(job.id, 0, 0, index), state)
             controller.ledger.apply(record_key(record), record, offset)
     for worker, link in controller.links.items():
         runs = [
@@ -487,7 +493,11 @@
         self.assertEqual(stored, list(ledger.pools[draft.pool].active.values()))
         pools = {state.job.pool for state in ledger.active.values()}
         self.assertEqual(pools, ledger.pools_with_jobs())
-        unstarted = [s for s in ledger.active.values() if not (s.tasks or s.is_over)]
+        unstarted = [
+            state
+            for state in ledger.active.values()
+            if not (state.is_over or any(t.has_begun for t in state.tasks.values()))
+        ]
         self.assertEqual(len(unstarted), ledger.pending("q"))
         for state in walk(draft):
             self.assertEqual(walk_running_cores(state), state.running_cores())
--- a/azurelanding/worker_holds.py
+++ b/azurelanding/worker_holds.py
@@ -134,7 +134,7 @@
     link.last_report_at = boot_time()
     link.last_hold_failed = link.may_have_restarted = False
     link.report_count += 1
-    link.listed_runs = {(run.task, run.run): run for run in report.runs}
+    _update_listed(link, report.runs)
     _update_progress(link)
     known = link.listed_runs.keys() | link.runs.keys()
     link.stops = {key: at for key, at in link.stops.items() if key in known}
@@ -155,6 +155,14 @@
         link.controller.notify()
 
 
+def _update_listed(link, runs):
+    """Update the listed runs; those listed for the first time have begun."""
+    listed_before = link.listed_runs.keys()
+    link.listed_runs = {(run.task, run.run): run for run in runs}
+    for task_id, _ in link.listed_runs.keys() - listed_before:
+        link.controller.record_begin(task_id)
+
+
 def _record_unlisted(link, key):
     """Record a run as lost, once the worker can't start it any more.
 
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -65,9 +65,11 @@
     ``end_control()`` when a worker refuses the epoch as superseded.
     ``is_startable(task_id)`` returns whether a placed task may still start, and
     ``is_leaving(worker_id)`` whether a worker is known to be going away.
-    ``charge_repeat(order)`` charges the budget for an unanswered start that is to be
-    sent again, and returns the seconds to wait before. ``watch`` is the ``LinkWatch``
-    of the pool and ``permission`` the ``LeasePermission`` of its controller.
+    ``record_begin(task_id)`` is called when the worker has told that it has begun a run
+    of a task. ``charge_repeat(order)`` charges the budget for an unanswered start that
+    is to be sent again, and returns the seconds to wait before. ``watch`` is the
+    ``LinkWatch`` of the pool and ``permission`` the ``LeasePermission`` of its
+    controller.
     """
 
     make_client: Callable
@@ -75,6 +77,7 @@
     notify: Callable
     end_control: Callable
     is_startable: Callable
+    record_begin: Callable
     charge_repeat: Callable
     is_leaving: Callable
     watch: LinkWatch
