Factors that double with each run or suspension stay finite

Cause: 2 ** n was multiplied with a float before it was limited.

Change: the exponents are limited: 10 doublings of the limits on a run, 3 of a suspension (the same 24 s as before), 32 of a task's memory.

Evidence: test_run_progress and test_start_permits failed before with "int too large to convert to float" for 5,000 runs and 1,100 suspensions; test_sizing is the same for 2,000 failures. Looked at, and limited already: the delays of retries, back-offs and of the appender.

--- a/azurelanding/run_progress.py
+++ b/azurelanding/run_progress.py
@@ -23,6 +23,9 @@
 loses the work done, and the new run starts with a delay."""
 RESTART_SECONDS = 0.5
 """Added to the limit on the remaining time, for the stop and the new start."""
+MAX_DOUBLINGS_COUNT = 10
+"""How often the limits on the runs of a task are doubled; then they are some half an
+hour, and stay finite after any number of runs."""
 UNKNOWN_TIME = math.inf, ""
 """Stands for the full time and the worker of the fastest run of a step."""
 
@@ -75,7 +78,7 @@
 
     Long-running tasks never complete and filler tasks may be paused, so both are left
     out. The limits on a run are multiplied by the factor, which doubles with each
-    further run of a task.
+    further run of a task, up to a limit.
     """
     for task_id, run in link.progress:
         state = ledger.active.get(task_id.job)
@@ -83,7 +86,8 @@
             continue
         step = state.job.steps[task_id.step]
         if not (step.long_running or step.fills):
-            yield (task_id, run), step, 2 ** (state.task(task_id).last_run - 1)
+            doublings = min(state.task(task_id).last_run - 1, MAX_DOUBLINGS_COUNT)
+            yield (task_id, run), step, 2**doublings
 
 
 def _stalls_at(progress, step, limit_factor):
--- a/azurelanding/sizing.py
+++ b/azurelanding/sizing.py
@@ -26,6 +26,8 @@
 RUN_TIME_QUANTILE = 0.75
 MEMORY_MARGIN_FACTOR = 1.15
 MEMORY_RETRY_FACTOR = 2.0
+MAX_RETRY_FACTORS_COUNT = 32
+"""Limit on how often the memory is multiplied; the result is more than any host has."""
 MIN_CORES = 0.1
 MIN_MEMORY_BYTES = 64 << 20
 
@@ -62,7 +64,8 @@
 
         The memory is multiplied by ``MEMORY_RETRY_FACTOR`` for each failure.
         """
-        memory = int(self.memory * MEMORY_RETRY_FACTOR**memory_failures)
+        factors = min(memory_failures, MAX_RETRY_FACTORS_COUNT)
+        memory = int(self.memory * MEMORY_RETRY_FACTOR**factors)
         return Resources(self.cores, memory, self.accelerators)
 
 
--- a/azurelanding/tests/test_run_progress.py
+++ b/azurelanding/tests/test_run_progress.py
@@ -5,7 +5,8 @@
 import testtools
 
 from azurelanding import run_progress
-from azurelanding.jobs import TaskId
+from azurelanding.jobs import TaskId, TaskState
+from azurelanding.ledger import TaskChanged, record_key
 from azurelanding.run_progress import RestartWatch, RunProgress
 from azurelanding.tests.platform_world import make_job, make_link, make_step
 from azurelanding.tests.test_fleet_choices import make_ledger
@@ -56,6 +57,23 @@
     def test_run_far_over_its_estimate_is_slow(self):
         self.assertEqual(2, len(self.restarted((1.0, 0.06), (1.0, 0.06), estimate=0.5)))
 
+    def restarted_after(self, task):
+        """Return the reasons to restart the only run of a task that stands still."""
+        job = make_job(steps=(make_step(1, estimate=1.0),))
+        ledger, now = make_ledger(job, ["v"]), boot_time()
+        task_id = TaskId(job.id, 0, 0, 0)
+        record = TaskChanged(task_id, task)
+        ledger.apply(record_key(record), record, 100)
+        progress = RunProgress(now - 3.0, now - 2.5, 0.0, 0.3)
+        links = {"v": make_reported_link("v", {(task_id, task.last_run): progress})}
+        restarts = RestartWatch().runs_to_restart(links, ledger, now)
+        return [reason for *_, reason in restarts]
+
+    def test_limits_of_a_task_with_thousands_of_runs_are_finite(self):
+        # The error ended the control of the pool again and again.
+        task = TaskState(5000, {5000: "v"})
+        self.assertEqual([], self.restarted_after(task))
+
     def test_run_of_unknown_pace_is_not_restarted(self):
         self.assertEqual([], self.restarted((0.3, 0.01), (1.0, 0.8)))
 
--- a/azurelanding/tests/test_sizing.py
+++ b/azurelanding/tests/test_sizing.py
@@ -33,6 +33,11 @@
         self.assertEqual(DECLARED, found.need())
         self.assertFalse(found.observed)
 
+    def test_need_is_finite_after_thousands_of_memory_failures(self):
+        found = sizing.estimate(JobSizes(), DECLARED, 60.0)
+        self.assertEqual(2 * DECLARED.memory, found.need(1).memory)
+        self.assertEqual(found.need(2000), found.need(5000))
+
     def test_follows_the_samples_of_several_workers(self):
         found = sizing.estimate(self.observed(), DECLARED, 60.0)
         self.assertEqual((2.0, 1, 10.0), (found.cores, found.accelerators, 10.0))
--- a/azurelanding/tests/test_start_permits.py
+++ b/azurelanding/tests/test_start_permits.py
@@ -250,6 +250,15 @@
         self.fail(worker_failures, jobs, 20.0)
         self.assertTrue(worker_failures.is_suspended("w", 25.9))
 
+    def test_suspension_is_bounded_after_thousands(self):
+        # The error ended the control of the pool again and again.
+        worker_failures, now = WorkerFailureTracker(), 10.0
+        jobs = [str(number) for number in range(SUSPEND_AFTER_FAILURES)]
+        for _ in range(1100):
+            self.fail(worker_failures, jobs, now)
+        self.assertTrue(worker_failures.is_suspended("w", now + 23.9))
+        self.assertFalse(worker_failures.is_suspended("w", now + 24.1))
+
     def test_success_resets_the_failures(self):
         worker_failures = WorkerFailureTracker()
         self.fail(worker_failures, ["a", "b"])
--- a/azurelanding/worker_health.py
+++ b/azurelanding/worker_health.py
@@ -8,7 +8,7 @@
 """Consecutive failures of different jobs after which a worker is suspended."""
 FIRST_SUSPENSION_SECONDS = 3.0
 """Length of a worker's first suspension; each further one is twice as long."""
-MAX_SUSPENSION_SECONDS = 24.0
+MAX_DOUBLINGS_COUNT = 3
 
 
 @attrs.define
@@ -39,8 +39,8 @@
         record = self.records[worker]
         record.failed_jobs.add(job)
         if len(record.failed_jobs) >= SUSPEND_AFTER_FAILURES:
-            suspension = FIRST_SUSPENSION_SECONDS * 2**record.suspensions
-            record.suspended_until = now + min(suspension, MAX_SUSPENSION_SECONDS)
+            doublings = min(record.suspensions, MAX_DOUBLINGS_COUNT)
+            record.suspended_until = now + FIRST_SUSPENSION_SECONDS * 2**doublings
             record.suspensions += 1
             record.failed_jobs.clear()
 
