Refused starts do not raise the limits on a later run

What callers would see: a task whose starts were refused for a while, by unhealthy or full workers, ran at last, stood still, and was not restarted elsewhere: its limits double with each run, and each refused start counted as one.

Evidence: test_refused_starts_do_not_raise_the_limits_of_a_run failed before (the field was unknown; with nine runs counted the limit is 512 s in place of 2 s) and passes after.

--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -59,6 +59,15 @@
         draft.set_task(task_id, _without_run(state.task(task_id), run))
 
 
+def record_unstarted_run(draft, task_id, run):
+    """Record that a run never began and never will."""
+    state = draft.job(task_id.job)
+    if state is not None and run in state.task(task_id).active:
+        task = _without_run(state.task(task_id), run)
+        task.not_begun += 1
+        draft.set_task(task_id, task)
+
+
 def end_jobs(draft, now):
     """End the completed jobs, and the jobs that are over and have no active run."""
     for state in draft.jobs_to_end():
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -152,7 +152,8 @@
     ``last_run`` is the number of its latest start that was decided. ``active`` maps
     each run that may be in progress to its worker. ``failed_on`` names the workers on
     which a run failed. ``was_reported`` is set once a worker has told that it has begun
-    a run: a start that was decided may be refused, or never arrive.
+    a run: a start that was decided may be refused, or never arrive. ``not_begun``
+    counts the runs that are known never to have begun.
     """
 
     last_run: int = 0
@@ -162,6 +163,7 @@
     is_done: bool = False
     checkpoint: str = ""
     was_reported: bool = False
+    not_begun: int = 0
 
     @property
     def has_begun(self):
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -394,7 +394,7 @@
 
     def _record_refusal(self, draft, link, task, run, refusal):
         now = boot_time()
-        job_ends.record_lost_run(draft, task, run)
+        job_ends.record_unstarted_run(draft, task, run)
         link.drop_run((task, run))
         self.task_backoffs[task] = now + TASK_BACKOFF_SECONDS
         if refusal is Refusal.NO_ROOM:
--- a/azurelanding/run_progress.py
+++ b/azurelanding/run_progress.py
@@ -78,7 +78,7 @@
 
     Long-running tasks never complete and filler tasks may be paused, so both are left
     out. The limits on a run are multiplied by the factor, which doubles with each
-    further run of a task, up to a limit.
+    further run of a task that may have begun, up to a limit.
     """
     for task_id, run in link.progress:
         state = ledger.active.get(task_id.job)
@@ -86,8 +86,9 @@
             continue
         step = state.job.steps[task_id.step]
         if not (step.long_running or step.fills):
-            doublings = min(state.task(task_id).last_run - 1, MAX_DOUBLINGS_COUNT)
-            yield (task_id, run), step, 2**doublings
+            task = state.task(task_id)
+            runs_before = max(0, task.last_run - task.not_begun - 1)
+            yield (task_id, run), step, 2 ** min(runs_before, MAX_DOUBLINGS_COUNT)
 
 
 def _stalls_at(progress, step, limit_factor):
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -30,7 +30,7 @@
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import World, make_job, make_queue, make_step
 from azurelanding.utils import boot_time
-from azurelanding.worker_calls import ListedEnd, ListedRun, WorkerReport
+from azurelanding.worker_calls import ListedEnd, ListedRun, Refusal, WorkerReport
 
 LARGE_COUNT = 1200
 """Tasks of a job that is several times as large as what one pass changes."""
@@ -334,6 +334,15 @@
         self.assertEqual((0, 1), (ledger.pending("q"), ledger.pending("other")))
         self.assertEqual([], visits)
 
+    def test_refused_start_counts_as_a_run_that_never_began(self):
+        link = self.controller.links["w0"]
+        (task, run), *_ = self.controller.ledger.placed["w0"]
+        draft = JobDraft(self.controller.ledger, "cuts")
+        link.not_started = [((task, run), Refusal.UNHEALTHY)]
+        self.controller._free_lost_runs(draft, ())
+        self.assertEqual(1, draft.changed[task].not_begun)
+        self.assertEqual({}, draft.changed[task].active)
+
     def test_free_capacity_visits_no_runs(self):
         draft = JobDraft(self.controller.ledger, "cuts")
         self.controller._free_capacity(draft, ())
--- a/azurelanding/tests/test_run_progress.py
+++ b/azurelanding/tests/test_run_progress.py
@@ -74,6 +74,12 @@
         task = TaskState(5000, {5000: "v"})
         self.assertEqual([], self.restarted_after(task))
 
+    def test_refused_starts_do_not_raise_the_limits_of_a_run(self):
+        # After minutes of refusals a run that stood still was never restarted.
+        task = TaskState(9, {9: "v"}, not_begun=8)
+        self.assertEqual(["stands still"], self.restarted_after(task))
+        self.assertEqual([], self.restarted_after(TaskState(9, {9: "v"})))
+
     def test_run_of_unknown_pace_is_not_restarted(self):
         self.assertEqual([], self.restarted((0.3, 0.01), (1.0, 0.8)))
 
