SIGHUP does not end a process that is starting or ending

Cause: the handler was set after the servers had been started, and taken away before the process ended; in between SIGHUP has its default action.

Change: the first lines of the program keep SIGHUP, SIGTERM and SIGINT; the loop's handlers are set before anything is started and stay until all is closed; then the signals are blocked. Kept signals take effect once the daemon has started.

Evidence: both new tests of test_platform_process failed before (the process was gone, and 0 != -1) and pass after, three runs. A first try without the last block failed with -1 at the end of the process, so that moment counts too.

--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -9,7 +9,7 @@
 import attrs
 import structlog
 
-from azurelanding import log, served_metrics
+from azurelanding import log, process_signals, served_metrics
 from azurelanding.http_server import HttpServer
 from azurelanding.platform import callers, operator, settings
 from azurelanding.platform.advice import AdviceClient
@@ -115,19 +115,28 @@
     service_clients = count_received(make_service_clients(site), metrics)
     daemon = SiteDaemon(site, service_clients, secrets.token_hex(3), metrics)
     servers = _make_servers(site, daemon)
-    async with anyio.create_task_group() as task_group:
-        await daemon.start(task_group)
-        for server in servers:
-            server.start(task_group)
-        handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*handled_signals) as signals:
-            async for signal_number in signals:
-                if signal_number != signal.SIGHUP:
-                    break
-                _reload(daemon)
+    with anyio.open_signal_receiver(*process_signals.HANDLED_SIGNALS) as signals:
+        async with anyio.create_task_group() as task_group:
+            await daemon.start(task_group)
+            for server in servers:
+                server.start(task_group)
+            await _serve_until_stopped(daemon, signals)
             await _stop(daemon, servers)
-        task_group.cancel_scope.cancel()
-    await daemon.close()
+            task_group.cancel_scope.cancel()
+        await daemon.close()
+        process_signals.block()
+
+
+async def _serve_until_stopped(daemon, signals):
+    """Reload the settings at each SIGHUP, until another signal arrives."""
+    for number in process_signals.received():
+        if number != signal.SIGHUP:
+            return
+        _reload(daemon)
+    async for number in signals:
+        if number != signal.SIGHUP:
+            return
+        _reload(daemon)
 
 
 def _reload(daemon):
@@ -146,8 +155,8 @@
 def main():
     """Run the daemon until SIGTERM or SIGINT.
 
-    SIGHUP makes it read its settings again. Exits with 2 when the settings are invalid
-    at the start.
+    SIGHUP makes it read its settings again, once it has started. Exits with 2 when the
+    settings are invalid at the start.
     """
     log.configure("info", log.NonBlockingOutput(sys.stdout.fileno()))
     try:
--- a/azurelanding/tests/test_platform_process.py
+++ b/azurelanding/tests/test_platform_process.py
@@ -1,5 +1,6 @@
 """Tests of the platform's daemon as a separate process, over real sockets."""
 
+import os
 import pathlib
 import signal
 import subprocess
@@ -47,10 +48,42 @@
         await anyio.sleep(0.1)
 
 
+class SettingsPipe:
+    """A settings file that is a pipe at first, so that a process waits for it.
+
+    Once written it is a plain file, which may be read again.
+    """
+
+    def __init__(self, path, content):
+        self.path = anyio.Path(path)
+        self.content = content
+
+    async def open(self):
+        """Wait until the process reads its settings."""
+        return await self.path.open("wb")
+
+    async def write(self, pipe):
+        """Let the process go on."""
+        plain = self.path.with_suffix(".plain")
+        await plain.write_bytes(self.content)
+        await plain.replace(self.path)
+        await pipe.write(self.content)
+
+
 class ProcessTest(testtools.TestCase):
     """The daemon process from its start to its stop."""
 
-    async def _run(self, scenario):
+    async def _run_from_pipe(self, scenario):
+        """Run a scenario with a process that waits for its ``SettingsPipe``."""
+
+        async def make_pipe(path, content):
+            await path.unlink()
+            os.mkfifo(path)
+            return SettingsPipe(path, content)
+
+        await self._run(scenario, make_pipe)
+
+    async def _run(self, scenario, make_pipe=None):
         model = StoreModel()
         server = HttpServer.from_config("127.0.0.1:0", model.app, http="httptools")
         async with anyio.create_task_group() as task_group:
@@ -59,6 +92,7 @@
                 path = anyio.Path(directory, "settings.json")
                 settings = encode_settings("edge-a-1", IP, server.address, 4)
                 await path.write_bytes(settings)
+                extra = [await make_pipe(path, settings)] if make_pipe else []
                 variables = environment(path)
                 command = [sys.executable, str(ROOT / "entry.py")]
                 process = await anyio.open_process(
@@ -69,7 +103,7 @@
                 )
                 try:
                     with anyio.fail_after(30):
-                        await scenario(model, process)
+                        await scenario(model, process, *extra)
                 finally:
                     if process.returncode is None:
                         process.kill()
@@ -101,6 +135,39 @@
 
         anyio.run(self._run, scenario)
 
+    def test_sighup_in_a_row_does_not_end_a_process_that_is_starting(self):
+        # It ended each process that had not bound its servers yet.
+        async def scenario(model, process, settings):
+            model.put("keyed.op", "config", CONFIGURATION)
+            async with await settings.open() as pipe:
+                for _ in range(10):
+                    process.send_signal(signal.SIGHUP)
+                    await anyio.sleep(0.02)
+                await settings.write(pipe)
+            while process.returncode is None:
+                process.send_signal(signal.SIGHUP)
+                answer = await request(READINESS, "GET", "/v1/ready")
+                if answer is not None and answer[0] == 200:
+                    break
+            self.assertIsNone(process.returncode)
+            process.send_signal(signal.SIGTERM)
+            while process.returncode is None:
+                process.send_signal(signal.SIGHUP)
+                await anyio.sleep(0.02)
+            self.assertEqual(0, process.returncode)
+
+        anyio.run(self._run_from_pipe, scenario)
+
+    def test_sigterm_ends_a_process_that_is_starting_in_order(self):
+        async def scenario(model, process, settings):
+            async with await settings.open() as pipe:
+                process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGTERM)
+                await settings.write(pipe)
+            self.assertEqual(0, await process.wait())
+
+        anyio.run(self._run_from_pipe, scenario)
+
     def test_invalid_settings_end_the_process_with_one_log_line(self):
         async def main():
             with tempfile.NamedTemporaryFile() as settings:
