Tests follow the listing of waiting tasks and the count that waits

The tests of the demand patch the function that lists the tasks of a step, which is JobState.waiting_tasks now, and the stand-in of the job service counts waiting jobs in a coroutine, as the service does. Both ask what they asked before.

--- a/azurelanding/tests/test_fleet_choices.py
+++ b/azurelanding/tests/test_fleet_choices.py
@@ -11,14 +11,13 @@
     filler_throttle,
     fleet_records,
     host_choice,
-    job_placement,
     pool_sizes,
     worker_orders,
 )
 from azurelanding.configuration import WaveRequest
 from azurelanding.fleet_records import HostPlan, WaveProgress
 from azurelanding.fleet_workers import HostEntry, HostPhase
-from azurelanding.jobs import JobState, TaskId, TaskState, task_ids
+from azurelanding.jobs import JobState, TaskId, TaskState
 from azurelanding.ledger import JobSubmitted, Ledger, TaskChanged, record_key
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import make_job, make_link, make_step
@@ -256,11 +255,13 @@
         jobs = [make_job(f"{n:016x}", (make_step(50),)) for n in range(20)]
         listed = []
 
-        def list_tasks(job_id, *arguments):
-            listed.append(job_id)
-            return task_ids(job_id, *arguments)
+        list_waiting = JobState.waiting_tasks
 
-        with unittest.mock.patch.object(job_placement, "task_ids", list_tasks):
+        def list_tasks(state, *arguments):
+            listed.append(state.job.id)
+            return list_waiting(state, *arguments)
+
+        with unittest.mock.patch.object(JobState, "waiting_tasks", list_tasks):
             states = [JobState(job) for job in jobs]
             self.assertEqual((0.0, 0), pool_sizes.wanted_cores(states, 99.0))
         self.assertEqual(0, len(listed))
@@ -271,13 +272,15 @@
         for index in range(4):
             state.set_task(TaskId(job.id, 0, 0, index), TaskState(1, {1: "w"}))
 
-        def list_tasks(job_id, *arguments):
-            listed.append(job_id)
-            return task_ids(job_id, *arguments)
+        list_waiting = JobState.waiting_tasks
+
+        def list_tasks(state, *arguments):
+            listed.append(state.job.id)
+            return list_waiting(state, *arguments)
 
         self.patch(CountedDict, "visits", [])
         state.tasks = CountedDict(state.tasks)
-        with unittest.mock.patch.object(job_placement, "task_ids", list_tasks):
+        with unittest.mock.patch.object(JobState, "waiting_tasks", list_tasks):
             self.assertEqual((18.0, 0), pool_sizes.wanted_cores([state], 1.0))
             self.assertEqual(0, pool_sizes.long_running_cores([state]))
         self.assertEqual(([], []), (listed, CountedDict.visits))
--- a/azurelanding/tests/test_platform_calls.py
+++ b/azurelanding/tests/test_platform_calls.py
@@ -321,7 +321,7 @@
             raise StateUnknownError("the store is down")
         return self.job_phase
 
-    def pending(self, queue):
+    async def pending(self, queue):
         return 12
 
 
