Freeing lost runs is a module of its own; a listed run is checked

Read again, three things changed with it:

- A run that a worker lists counts as begun only if the ledger has it in progress.
The new test of test_pool_jobs failed before the check.
- A pass without room for starts lists no tasks.
- The limit of changes says what it limits.

--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -13,7 +13,7 @@
 from azurelanding.pool_jobs import sum_usage
 
 MAX_CHANGES_PER_KIND_COUNT = 250
-"""Limit on the ends, the freed runs, the starts and the dropped tasks of a decision."""
+"""Limit on the ends, on the freed runs and on the dropped tasks of a decision."""
 
 
 class JobDraft:
--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -43,10 +43,12 @@
         draft.set_task(member, task)
 
 
-def record_begin(draft, task_id):
-    """Record that a worker has begun a run of a task, if none of its job had."""
+def record_begin(draft, task_id, run):
+    """Record that a worker has begun a run, if none of its job had begun."""
     state = draft.job(task_id.job)
-    if state is not None and not state.begun:
+    if state is None or run not in state.task(task_id).active:
+        return
+    if not state.begun:
         task = state.task(task_id).copy()
         task.was_reported = True
         draft.set_task(task_id, task)
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -6,19 +6,17 @@
 ``lease_permission`` limits what a superseded controller does to the others.
 """
 
-import functools
-import itertools
 import time
 
 import anyio
 import structlog
 
-from azurelanding import evacuation, job_ends, job_placement, missing_workers
+from azurelanding import evacuation, job_ends, job_placement, lost_runs
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
 from azurelanding.jobs import RunEnd
-from azurelanding.ledger import WorkersMissing, WorkersVacated
+from azurelanding.ledger import WorkersVacated
 from azurelanding.pool_links import PoolLinks
 from azurelanding.pool_stops import PoolStops, log_run
 from azurelanding.pool_stream import TOPIC
@@ -26,10 +24,9 @@
 from azurelanding.store import Producer, StoreError, StoreFencedError
 from azurelanding.supervision import keep_running
 from azurelanding.utils import Notifier, boot_time
-from azurelanding.worker_calls import Refusal, StartOrder
+from azurelanding.worker_calls import StartOrder
 from azurelanding.worker_capacity import free_capacity_by_worker
 from azurelanding.worker_health import WorkerFailureTracker
-from azurelanding.worker_link import round_seconds
 
 logger = structlog.get_logger()
 
@@ -42,10 +39,6 @@
 """Append timeout; a controller waits for the store as long as it controls its pool."""
 EXPIRY_INTERVAL_SECONDS = 5.0
 """Interval of checks for expired jobs; also the clock slack added to the retention."""
-FULL_WORKER_BACKOFF_SECONDS = 0.4
-"""How long a worker gets no starts after it refused one for lack of free capacity."""
-TASK_BACKOFF_SECONDS = 0.5
-"""How long a task is not placed again after a refused start."""
 MAX_UNANSWERED_STARTS_COUNT = 250
 """Limit on the starts under way to the workers that tasks may be placed on. Orders go
 out in turn, so a more urgent start waits behind them."""
@@ -203,7 +196,7 @@
         draft = JobDraft(self.ledger, self.pool)
         ends_read = self._record_ends(draft)
         self._record_begun_jobs(draft)
-        self._free_lost_runs(draft, _with_ends_left(ends_read))
+        lost_runs.free_lost_runs(self, draft, _with_ends_left(ends_read))
         self._record_cordoned(draft)
         job_ends.end_jobs(draft, time.time())
         draft.drop_ended_tasks()
@@ -296,117 +289,8 @@
 
     def _record_begun_jobs(self, draft):
         begun, self.pool_links.begun = self.pool_links.begun, {}
-        for task_id in begun.values():
-            job_ends.record_begin(draft, task_id)
-
-    def _free_lost_runs(self, draft, with_ends_left):
-        """Free the runs that are certainly no longer in progress.
-
-        Those on workers in ``with_ends_left`` wait: such a run may have been done.
-        """
-        now, ended = boot_time(), self.daemon.fleet.ended()
-        self._mark_ended_workers(now, ended)
-        lost_runs = itertools.chain(
-            self._lost_runs(draft, with_ends_left, now),
-            self._lost_runs_of_missing(draft, now, ended),
-        )
-        count = 0
-        for free in itertools.islice(lost_runs, MAX_CHANGES_PER_KIND_COUNT):
-            free()
-            count += 1
-        draft.is_cut = draft.is_cut or count == MAX_CHANGES_PER_KIND_COUNT
-
-    def _mark_ended_workers(self, now, ended):
-        for worker_id, link in self.links.items():
-            signs = self._signs_of_end(worker_id, ended)
-            may_have_ended = any(signs) and not link.has_ended
-            if may_have_ended and link.has_fallen_silent(signs, now):
-                link.mark_ended("its host was ordered or runs a later one")
-
-    def _lost_runs(self, draft, with_ends_left, now):
-        """Yield for each lost run on a linked worker the function that frees it."""
-        for worker_id, link in list(self.links.items()):
-            if worker_id in with_ends_left:
-                continue
-            while link.not_started:
-                (task, run), refusal = link.not_started.pop(0)
-                yield functools.partial(
-                    self._record_refusal, draft, link, task, run, refusal
-                )
-            while link.lost_runs:
-                task, run = link.lost_runs.pop(0)
-                reason = "not listed by its worker"
-                yield functools.partial(self._free, draft, link, task, run, reason)
-            if link.has_ended or now > link.leased_until:
-                reason = "worker gone" if link.has_ended else "lease over"
-                for task, run in list(self.ledger.placed.get(worker_id, ())):
-                    yield functools.partial(self._free, draft, link, task, run, reason)
-
-    def _signs_of_end(self, worker_id, ended):
-        """Return two signs that a worker has ended, each as a truth value.
-
-        They are an order to its host, and a later incarnation of the host.
-        """
-        is_later_known = self.daemon.registry.has_later_incarnation(worker_id)
-        return worker_id in ended, is_later_known
-
-    def _lost_runs_of_missing(self, draft, now, ended):
-        """Yield a function that frees it for each run on a worker without an entry.
-
-        Its lease must have expired. The time from which a worker is missing is stored,
-        so that a takeover does not wait for a full lease again. A link to such a worker
-        is only made after the record no longer names it, because the link extends the
-        lease.
-        """
-        registered = self.pool_links.registered
-        runs = missing_workers.runs_by_missing_worker(
-            self.ledger, self.pool, self.links, registered
-        )
-        recorded, wall_time = self.ledger.missing.get(self.pool, {}), time.time()
-        missing = {name: recorded.get(name, wall_time) for name in sorted(runs)}
-        if missing != recorded:
-            draft.add(WorkersMissing(self.pool, missing))
-        lease = self.daemon.site.timing.longest_lease
-        for name in missing:
-            since = recorded.get(name)
-            if any(self._signs_of_end(name, ended)) or missing_workers.is_lease_expired(
-                since, self.started_at, lease, now, wall_time
-            ):
-                for task, run in runs[name]:
-                    yield functools.partial(self._free_missing, draft, name, task, run)
-
-    def _free_missing(self, draft, worker_id, task, run):
-        job_ends.record_lost_run(draft, task, run)
-        log_run("run freed", worker_id, task, run, reason="no worker")
-
-    def _free(self, draft, link, task, run, reason):
-        job_ends.record_lost_run(draft, task, run)
-        fields = {
-            "reason": reason,
-            "report_age": round_seconds(link.report_age(boot_time())),
-            "start_answered": link.runs.get((task, run)) is not None,
-        }
-        link.drop_run((task, run))
-        if not link.has_ended:
-            # An unanswered start may still be carried out.
-            link.stop_before_others(task, run)
-        log_run("run freed", link.entry.id, task, run, **fields)
-
-    def _record_refusal(self, draft, link, task, run, refusal):
-        now = boot_time()
-        job_ends.record_unstarted_run(draft, task, run)
-        link.drop_run((task, run))
-        self.task_backoffs[task] = now + TASK_BACKOFF_SECONDS
-        if refusal is Refusal.NO_ROOM:
-            link.no_starts_until = max(
-                link.no_starts_until, now + FULL_WORKER_BACKOFF_SECONDS
-            )
-            self.task_backoffs.pop(task)
-        if refusal is Refusal.NO_TICKET:
-            self.permits.drop_permit(task, link.entry.id)
-        self.metrics.count(f"start_refused_{refusal.value if refusal else 'none'}")
-        reason = refusal.value if refusal else None
-        log_run("start refused", link.entry.id, task, run, reason=reason)
+        for task_id, run in begun.values():
+            job_ends.record_begin(draft, task_id, run)
 
     # Placement
 
@@ -434,11 +318,14 @@
         if not draft.has_startable_jobs():
             self._record_held_back(0)
             return []
-        now = time.time()
         free_capacity = self._free_capacity(draft, self.daemon.cordoned())
         room = MAX_UNANSWERED_STARTS_COUNT - sum(
             len(self.links[worker_id].start_times) for worker_id in free_capacity
         )
+        if room <= 0:
+            self.waits_for_answers = True
+            return []
+        now = time.time()
         bounds = job_placement.FreeBounds(free_capacity.values())
         ready_steps = [
             ready
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -25,7 +25,7 @@
     and ``scopes`` maps the linked workers to the cancel scope of their link's tasks.
     ``late_starts`` maps the workers whose link was dropped while it had unanswered
     starts to these and to ``born`` of the incarnation that may still carry them out.
-    ``begun`` maps jobs that were not known to have begun to a task that has.
+    ``begun`` maps jobs that were not known to have begun to a task and a run that has.
     ``controller`` holds what the links use of the controller, such as ``wake``,
     ``end_control`` and ``charge_repeat``.
     """
@@ -114,10 +114,10 @@
             or worker_id in self.daemon.cordoned()
         )
 
-    def _record_begin(self, task_id):
+    def _record_begin(self, task_id, run):
         state = self.ledger.active.get(task_id.job)
         if state is not None and not state.begun:
-            self.begun[task_id.job] = task_id
+            self.begun[task_id.job] = task_id, run
 
     def _is_startable(self, task_id):
         """Return whether the job of a placed task is still active."""
--- a/azurelanding/tests/platform_world.py
+++ b/azurelanding/tests/platform_world.py
@@ -45,7 +45,7 @@
         "notify": lambda: None,
         "end_control": lambda: None,
         "is_startable": lambda task: True,
-        "record_begin": lambda task_id: None,
+        "record_begin": lambda task_id, run: None,
         "charge_repeat": lambda order: 0.0,
         "is_leaving": lambda worker_id: False,
         "watch": LinkWatch("cuts", ServedMetrics()),
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from testtools.matchers import LessThan
 
-from azurelanding import job_ends, job_placement, worker_holds
+from azurelanding import job_ends, job_placement, lost_runs, worker_holds
 from azurelanding.configuration import Configuration
 from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
 from azurelanding.jobs import JobOutcome, RunEnd, TaskId, TaskState, task_ids
@@ -339,10 +339,25 @@
         (task, run), *_ = self.controller.ledger.placed["w0"]
         draft = JobDraft(self.controller.ledger, "cuts")
         link.not_started = [((task, run), Refusal.UNHEALTHY)]
-        self.controller._free_lost_runs(draft, ())
+        lost_runs.free_lost_runs(self.controller, draft, ())
         self.assertEqual(1, draft.changed[task].not_begun)
         self.assertEqual({}, draft.changed[task].active)
 
+    def test_listed_run_that_no_job_has_is_not_taken_for_a_begun_one(self):
+        # A worker may list what it likes; an error would end the control of the pool.
+        waiting = make_job("f" * 16, (make_step(1, need=Resources(99.0, 1, 0)),))
+        self.controller.ledger.apply(("job", waiting.id), JobSubmitted(waiting), 500)
+        link, runs = self.controller.links["w0"], []
+        for number, index in ((0, 0), (0, 7), (9, 0)):
+            task = TaskId(waiting.id, 0, number, index)
+            runs.append(ListedRun(task, 1, "", 0.5, 0.0))
+        report = WorkerReport(2.0, 1, tuple(runs), ())
+        worker_holds.apply_report(link, report, boot_time())
+        draft = JobDraft(self.controller.ledger, "cuts")
+        self.controller._record_begun_jobs(draft)
+        self.assertEqual({}, draft.changed)
+        self.assertEqual(1, self.controller.ledger.pending("q"))
+
     def test_free_capacity_visits_no_runs(self):
         draft = JobDraft(self.controller.ledger, "cuts")
         self.controller._free_capacity(draft, ())
--- a/azurelanding/worker_holds.py
+++ b/azurelanding/worker_holds.py
@@ -159,8 +159,8 @@
     """Update the listed runs; those listed for the first time have begun."""
     listed_before = link.listed_runs.keys()
     link.listed_runs = {(run.task, run.run): run for run in runs}
-    for task_id, _ in link.listed_runs.keys() - listed_before:
-        link.controller.record_begin(task_id)
+    for task_id, run in link.listed_runs.keys() - listed_before:
+        link.controller.record_begin(task_id, run)
 
 
 def _record_unlisted(link, key):
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -65,8 +65,8 @@
     ``end_control()`` when a worker refuses the epoch as superseded.
     ``is_startable(task_id)`` returns whether a placed task may still start, and
     ``is_leaving(worker_id)`` whether a worker is known to be going away.
-    ``record_begin(task_id)`` is called when the worker has told that it has begun a run
-    of a task. ``charge_repeat(order)`` charges the budget for an unanswered start that
+    ``record_begin(task_id, run)`` is called when the worker has told that it has begun
+    a run. ``charge_repeat(order)`` charges the budget for an unanswered start that
     is to be sent again, and returns the seconds to wait before. ``watch`` is the
     ``LinkWatch`` of the pool and ``permission`` the ``LeasePermission`` of its
     controller.
--- a/azurelanding/worker_orders.py
+++ b/azurelanding/worker_orders.py
@@ -118,7 +118,7 @@
     link.controller.watch.count_start_bytes(order)
     with link.watched("start"):
         await client.start(order, lease_end)
-    link.controller.record_begin(order.task)
+    link.controller.record_begin(order.task, order.run)
 
 
 async def _wait(link, client, seconds, may_have_started):
