A controller that waits for answers pauses between its passes

- A pass without room for starts left the note that the link holds tasks back, so that the next pass followed at once, again and again, until starts were answered.
- A pass that used up the room with its last step didn't note that it waits, so the next one came after 0.25 s in place of 0.05 s.
- A process that starts is ready once the pools in use are loaded, as before: a pool that no queue uses must not keep it from its callers.

Evidence: two tests of LongPassTest failed before (a wait of 0.0 s where none is due; False is not true) and pass after.

--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -183,10 +183,10 @@
 class JobState:
     """A job and its recorded state.
 
-    ``tasks`` holds the tasks for which a start was decided at least once. ``begun``
-    counts those that have begun. ``done`` counts the
-    finished tasks by occurrence and step, ``taken`` those that are finished or have
-    active runs, and ``failed_tasks`` the tasks that have no attempts left.
+    ``tasks`` holds the tasks for which a start was decided at least once, and ``begun``
+    counts those that have begun. ``done`` counts the finished tasks by occurrence and
+    step, ``taken`` those that are finished or have active runs, and ``failed_tasks``
+    the tasks that have no attempts left.
     ``running`` counts the tasks with active runs, ``running_by_step`` those of each
     step; ``overdone`` holds those that are done nevertheless. ``first_waiting`` holds
     by occurrence and step an index below which all tasks are done or running.
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -324,6 +324,7 @@
         )
         if room <= 0:
             self.waits_for_answers = True
+            self._record_held_back(0)
             return []
         now = time.time()
         bounds = job_placement.FreeBounds(free_capacity.values())
@@ -346,8 +347,7 @@
             limit = self.start_budget.affordable(
                 self, OVERHEAD_BYTES + len(ready.state.job.spec), boot_time()
             )
-            self.waits_for_answers = len(starts) >= room
-            if not limit or self.waits_for_answers:
+            if not limit or len(starts) >= room:
                 break
             usable_workers = self.permits.usable_workers(
                 ready, free_capacity, self.wake
@@ -360,6 +360,7 @@
             if len(placed_tasks) < len(ready.tasks) and len(starts) > tightened_after:
                 bounds.tighten()
                 tightened_after = len(starts)
+        self.waits_for_answers = len(starts) >= room
         left = sum(len(ready.tasks) for ready in ready_steps) - len(starts)
         is_spent = not self.start_budget.affordable(self, 1, boot_time())
         self._record_held_back(left if is_spent else 0)
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -198,9 +198,6 @@
         """Return the partitions of the pools that run at least one queue."""
         configuration = self.operator.configuration
         pools = configuration.pools_in_use() if configuration else ()
-        return self._partitions_of(pools)
-
-    def _partitions_of(self, pools):
         return {partition_of(pool, self.site.store.partitions) for pool in pools}
 
     def _read_delay(self, partition):
@@ -290,8 +287,7 @@
             return False
         return all(
             self.streams[partition].follower.is_loaded
-            for partition in self._partitions_of(self.operator.configuration.pools)
-            if partition in self.streams
+            for partition in self._partitions_in_use() & self.streams.keys()
         )
 
     # Tasks
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -27,6 +27,7 @@
 from azurelanding.pool_stops import MAX_STOPS_PER_PASS_COUNT
 from azurelanding.pool_stream import PoolStream
 from azurelanding.standins.platform_worker import WorkerModel
+from azurelanding.start_budget import StartBudget
 from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import World, make_job, make_queue, make_step
 from azurelanding.utils import boot_time
@@ -415,11 +416,20 @@
             self.end += 1
 
     def test_starts_of_a_large_job_are_decided_a_part_at_a_time(self):
+        for _ in range(2):
+            self.run_pass()
+            self.assertEqual([MAX_UNANSWERED_STARTS_COUNT], self.appends)
+            self.assertTrue(self.controller.waits_for_answers)
+
+    def test_wait_for_answers_is_no_wait_for_the_link(self):
+        # With room on the link, passes followed each other without a pause.
+        budget = self.controller.start_budget = StartBudget(1e9, boot_time())
+        budget.join(self.controller, boot_time() - 1.0)
         self.run_pass()
-        self.assertEqual([MAX_UNANSWERED_STARTS_COUNT], self.appends)
+        budget.set_waiting(self.controller, True, boot_time())
         self.run_pass()
-        self.assertEqual([MAX_UNANSWERED_STARTS_COUNT], self.appends)
-        self.assertTrue(self.controller.waits_for_answers)
+        wait = budget.seconds_to_wait(self.controller, boot_time())
+        self.assertEqual(math.inf, wait)
 
     def test_answered_starts_make_room_for_others(self):
         self.run_pass()
