--- a/review/site_2.py
+++ b/review/site_2.py
@@ -13,6 +13,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -32,7 +33,6 @@
 MAX_HOLD_MS = 6000
 STOP_SECONDS = 0.2
 MOVE_SECONDS = 1.5
-FRONTEND_PORT, READINESS_PORT = 8624, 8622
 TIME_LIMIT_SECONDS = 112.0
 # The bounds of the small site telar-cr.
 BOUNDS = {
@@ -160,6 +160,13 @@
             writer.close()
 
 
+def find_free_port(network):
+    """Return a port that is free on the first daemon's address, so on all of them."""
+    with socket.socket() as probe:
+        probe.bind((f"{network}.10", 0))
+        return probe.getsockname()[1]
+
+
 class Link:
     """One connection over a ``Path``; a dead one passes no byte any more."""
 
@@ -578,6 +585,8 @@
         octet = random.randint(20, 240)
         self.network = f"127.{octet}.{random.randint(1, 250)}"
         self.platform_ip = f"{self.network}.250"
+        self.frontend_port = find_free_port(self.network)
+        self.readiness_port = find_free_port(self.network)
 
     def find_gang(self, task, number):
         """Return the ``Gang`` of a run, ``None`` for a task that is in none."""
@@ -710,8 +719,8 @@
             "region": "region",
             "zones": {f"zone-{letter}": "region" for letter in "abc"},
             "listen": {
-                "frontend": f"{ip}:{FRONTEND_PORT}",
-                "readiness": f"{ip}:{READINESS_PORT}",
+                "frontend": f"{ip}:{self.frontend_port}",
+                "readiness": f"{ip}:{self.readiness_port}",
             },
             "internalPorts": [7060, 7075],
             "seedNodes": [],
@@ -788,7 +797,9 @@
 
     async def ready(self, ip):
         """Return the status of a readiness check, ``None`` without an answer."""
-        answer = await call(f"{ip}:{READINESS_PORT}", "GET", "/v1/ready", seconds=1.0)
+        answer = await call(
+            f"{ip}:{self.readiness_port}", "GET", "/v1/ready", seconds=1.0
+        )
         return answer and answer[0]
 
     def signal(self, number, signal_number):
@@ -807,7 +818,7 @@
             ("X-Request-Deadline", str(int(seconds * 1000))),
         ]
         sent_at = self.record.now()
-        address = f"{self.ips[number]}:{FRONTEND_PORT}"
+        address = f"{self.ips[number]}:{self.frontend_port}"
         answer = await call(address, method, path, headers, body, seconds)
         status, content = answer or (None, b"")
         self.record.add(
