--- a/azurelanding/appender.py
+++ b/azurelanding/appender.py
@@ -4,6 +4,10 @@
 a response may have been stored, so it is repeated under the same sequence number until
 the store responds. A caller that times out before that gets ``OutcomeUnknownError``;
 a caller whose records were certainly not stored gets ``NotStoredError``.
+
+A caller that times out may have its request repeated by another process. An appender
+that ``withdraws`` therefore ends an append when no caller waits for it any more: it
+registers a higher epoch, with which the store rejects what arrives under the last one.
 """
 
 import anyio
@@ -28,6 +32,7 @@
 900 a second, below what the store takes from all of them."""
 MAX_BATCH_BYTES = 500_000
 """Limit of one append: a quarter of the store's limit, so that each append is fast."""
+MAX_LOGGED_KEYS = 20
 
 
 class NotStoredError(StoreError):
@@ -59,13 +64,19 @@
         self.settled.set()
 
 
+def _is_overdue(batch):
+    """Return whether the time of all callers of ``batch`` is over."""
+    return anyio.current_time() >= max(pending.deadline for pending in batch)
+
+
 class Appender:
     """Sends the appends of one producer to one partition, in order.
 
     ``on_fenced()`` is called when a producer with a higher epoch has written;
     ``fenced`` then holds the error. While ``may_send()`` is false, appends that are not
     sent yet fail at once, as certainly not stored. ``succeeded_at`` is when the last
-    append succeeded. ``in_flight`` is the batch that is being sent.
+    append succeeded. ``in_flight`` is the batch that is being sent. With ``withdraws``,
+    a batch that may be stored is withdrawn once the time of all its callers is over.
     """
 
     def __init__(
@@ -76,6 +87,7 @@
         producer,
         on_fenced=None,
         may_send=lambda: True,
+        withdraws=False,
     ):
         self.topic = topic
         self.partition = partition
@@ -83,6 +95,8 @@
         self.producer = producer
         self.on_fenced = on_fenced
         self.may_send = may_send
+        self.withdraws = withdraws
+        self.is_epoch_registered = True
         self.sequence = 1
         self.waiting = []
         self.in_flight = []
@@ -136,8 +150,12 @@
         if self.in_flight:
             self._abandon_in_flight()
         while self.fenced is None:
-            await self.arrivals.wait_until(lambda: bool(self.waiting))
-            if self.may_send():
+            await self.arrivals.wait_until(
+                lambda: self.waiting or not self.is_epoch_registered
+            )
+            if not self.waiting:
+                await self._register_epoch()
+            elif self.may_send():
                 self.in_flight = self._next_batch()
                 await self._send(self.in_flight)
                 self.in_flight = []
@@ -149,9 +167,38 @@
         for pending in abandoned:
             if not pending.settled.is_set():
                 pending.settle(error=OutcomeUnknownError("the append was given up"))
+        self._begin_epoch()
+
+    def _begin_epoch(self):
         self.producer = attrs.evolve(self.producer, epoch=self.producer.epoch + 1)
         self.sequence = 1
 
+    def _withdraw(self, batch):
+        """Stop repeating ``batch``, and have its earlier attempts rejected."""
+        self._begin_epoch()
+        self.is_epoch_registered = False
+        logger.info(
+            "append withdrawn",
+            topic=self.topic,
+            partition=self.partition,
+            keys=[key for pending in batch for key, _ in pending.records][
+                :MAX_LOGGED_KEYS
+            ],
+            epoch=self.producer.epoch,
+        )
+
+    async def _register_epoch(self):
+        """Register the epoch with the store, as no append does so now."""
+        try:
+            await self.client.append(self.topic, self.partition, (), self.producer, 0)
+        except StoreFencedError as error:
+            self._fail_fenced([], error, may_be_stored=False)
+        except StoreError as error:
+            logger.info("epoch not registered, retrying", reason=str(error))
+            await self._wait_to_retry()
+        else:
+            self.is_epoch_registered = True
+
     async def _send(self, batch):
         """Append one batch and settle its pending appends."""
         records = [record for pending in batch for record in pending.records]
@@ -178,6 +225,9 @@
             else:
                 self._settle_stored(batch, offset)
                 return
+            if self.withdraws and _is_overdue(batch):
+                self._withdraw(batch)
+                return
             await self._wait_to_retry()
 
     async def _wait_to_retry(self):
@@ -198,6 +248,7 @@
 
     def _settle_stored(self, batch, offset):
         self.sequence += 1
+        self.is_epoch_registered = True
         self.succeeded_at = anyio.current_time()
         self.retry_delay = RETRY_DELAY_SECONDS
         for pending in batch:
--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -109,11 +109,11 @@
             return found, state
         return await self._find(job_id)
 
-    async def _append(self, stream, records, timeout):
+    async def _append(self, stream, appender, records, timeout):
         """Store and apply records; return the ``Acceptance`` and a detail to log."""
         encoded = [encode_record(record) for record in records]
         try:
-            offset = await stream.appender.append(encoded, timeout)
+            offset = await appender.append(encoded, timeout)
         except NotStoredError as error:
             return Acceptance.REFUSED, str(error)
         except OutcomeUnknownError as error:
@@ -157,8 +157,10 @@
             elif never_fits(job, self.maximum_of(job.account)):
                 acceptance, detail = Acceptance.REFUSED, "above the account's maximum"
             else:
+                stream = self.stream_of(job.pool)
                 acceptance, detail = await self._append(
-                    self.stream_of(job.pool),
+                    stream,
+                    stream.appender,
                     submission_records(job),
                     started_at + timeout - time.monotonic(),
                 )
@@ -174,6 +176,11 @@
         )
         return acceptance
 
+    async def _append_cancellation(self, stream, job_id, account, deadline):
+        record = JobCancelled(job_id, time.time(), account)
+        max_wait = deadline - time.monotonic()
+        return await self._append(stream, stream.cancellations, (record,), max_wait)
+
     async def _cancel_unknown(self, queue, job_id, deadline, account):
         """Store the cancellation of a job that is in no stream.
 
@@ -187,9 +194,9 @@
         for stream in streams:
             if stream.is_cancelled_early(job_id):
                 continue
-            records = (JobCancelled(job_id, time.time(), account),)
-            max_wait = deadline - time.monotonic()
-            acceptance, detail = await self._append(stream, records, max_wait)
+            acceptance, detail = await self._append_cancellation(
+                stream, job_id, account, deadline
+            )
             if acceptance is not Acceptance.ACCEPTED:
                 return acceptance, detail
         return Acceptance.NO_JOB, f"stored for {len(streams)} partitions"
@@ -215,9 +222,9 @@
         elif state.cancelled_at is not None or state.outcome is not None:
             acceptance, detail = Acceptance.ACCEPTED, state.phase.value
         else:
-            records = (JobCancelled(job_id, time.time(), account),)
-            max_wait = deadline - time.monotonic()
-            acceptance, detail = await self._append(stream, records, max_wait)
+            acceptance, detail = await self._append_cancellation(
+                stream, job_id, account, deadline
+            )
         self.metrics.count(f"cancellations_{acceptance.value}")
         logger.info(
             "job cancelled", job=job_id, outcome=acceptance.value, detail=detail
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -14,6 +14,7 @@
 TOPIC = "jobs"
 LOAD_ORDER = ("work", "job", "cancel", "task", "end", "vacated", "missing", "grant")
 """Jobs load before records on them; a repeated job record may have a later offset."""
+CANCELLATIONS_SUFFIX = "-cancellations"
 READ_WAIT_SECONDS = 1.0
 """Longest wait of a read at the store; short, to detect a silent connection early."""
 
@@ -49,8 +50,11 @@
 class PoolStream:
     """This daemon's reader, appender and ledger for one partition of the jobs topic.
 
-    ``appender`` stores the requests of callers; a controller has an appender of its
-    own. ``read_delay(partition)`` returns the seconds between two reads of a partition.
+    ``appender`` stores the submissions of callers, and withdraws those whose callers
+    were told that the outcome is unknown: they may have been accepted elsewhere since.
+    ``cancellations`` stores cancellations, which may take effect late. A controller has
+    an appender of its own. ``read_delay(partition)`` returns the seconds between two
+    reads of a partition.
     ``store_answers()`` returns whether the store has answered lately; the requests of
     callers are sent only then, and others refused at once rather than left unknown.
     ``faults`` are the ``RecordFaults`` of the daemon.
@@ -78,9 +82,20 @@
             READ_WAIT_SECONDS,
             faults,
         )
-        producer = Producer(producer_name, 1)
         self.appender = Appender(
-            TOPIC, partition, make_client(), producer, may_send=store_answers
+            TOPIC,
+            partition,
+            make_client(),
+            Producer(producer_name, 1),
+            may_send=store_answers,
+            withdraws=True,
+        )
+        self.cancellations = Appender(
+            TOPIC,
+            partition,
+            make_client(),
+            Producer(f"{producer_name}{CANCELLATIONS_SUFFIX}", 1),
+            may_send=store_answers,
         )
 
     @property
@@ -121,6 +136,7 @@
             ("read", self.follower.run),
             ("refresh", self.follower.run_refreshes),
             ("append", self.appender.run),
+            ("append cancellations", self.cancellations.run),
         ):
             name = f"{task} {TOPIC} {self.partition}"
             task_group.start_soon(keep_running, name, run, metrics)
@@ -133,3 +149,4 @@
         """Close the connections; may be called twice."""
         await self.follower.close()
         await self.appender.close()
+        await self.cancellations.close()
--- a/azurelanding/standins/platform_store.py
+++ b/azurelanding/standins/platform_store.py
@@ -374,11 +374,16 @@
 
 
 class ModelClient:
-    """Client of a ``StoreModel``; ``cut`` makes the calls of this client fail."""
+    """Client of a ``StoreModel``.
+
+    ``cut`` makes the calls of this client fail, and ``delays_appends`` leaves its
+    appends unanswered until ``StoreModel.release`` applies them.
+    """
 
     def __init__(self, model):
         self.model = model
         self.cut = False
+        self.delays_appends = False
         self.join_count = 0
 
     async def _check_reachable(self):
@@ -393,8 +398,8 @@
         """Append as ``StoreClient.append`` does."""
         await self._check_reachable()
         knobs, target = self.model.knobs, self.model.partitions[topic, partition]
-        if records and knobs.delay_appends:
-            knobs.delay_appends -= 1
+        if records and (self.delays_appends or knobs.delay_appends):
+            knobs.delay_appends = max(0, knobs.delay_appends - 1)
             self.model.delayed.append((target, list(records), producer, sequence))
             raise StoreNoResponseError("no response from the store")
         offset = target.append(list(records), producer, sequence)
--- a/azurelanding/tests/test_job_service.py
+++ b/azurelanding/tests/test_job_service.py
@@ -14,7 +14,8 @@
 from azurelanding.standins.platform_store import ModelClient, StoreModel
 from azurelanding.store import Producer
 from azurelanding.tasks import Resources
-from azurelanding.tests.platform_world import make_job, make_queue
+from azurelanding.tests.platform_world import World, make_job, make_queue, until
+from azurelanding.tests.test_pool_control import submit, until_phase
 
 QUEUE = make_queue()
 TIMEOUT = 0.3
@@ -121,3 +122,45 @@
             self.assertEqual(1, self.store.page_count)
 
         self.run_with(scenario)
+
+
+class UnansweredRequestTest(testtools.TestCase):
+    """Requests that the store does not answer before their callers are told."""
+
+    def run_with(self, scenario):
+        world = World(partitions=1, lease=6.0)
+        world.configure(QUEUE)
+        anyio.run(world.run, scenario, 1)
+
+    def test_submission_whose_caller_was_told_is_not_stored_later(self):
+        # It was repeated for as long as it took, when its job had run elsewhere.
+        job = make_job()
+
+        async def scenario(world):
+            (daemon,) = world.daemons
+            await until(daemon.is_ready)
+            world.store.knobs.delay_appends = 1_000
+            acceptance = await daemon.service.submit(job, 0.3)
+            self.assertIs(Acceptance.UNKNOWN, acceptance)
+            await anyio.sleep(0.5)
+            world.store.knobs.delay_appends = 0
+            await anyio.sleep(0.5)
+            world.store.release()
+            phase = await daemon.service.phase(QUEUE, job.id, 5.0)
+            self.assertIsNone(phase)
+
+        self.run_with(scenario)
+
+    def test_cancellation_whose_caller_was_told_is_stored_later(self):
+        job = make_job()
+
+        async def scenario(world):
+            (daemon,) = world.daemons
+            await submit(world, job)
+            world.store.knobs.delay_appends = 1_000
+            acceptance = await daemon.service.cancel(QUEUE, job.id, 0.3)
+            self.assertIs(Acceptance.UNKNOWN, acceptance)
+            world.store.knobs.delay_appends = 0
+            await until_phase(world, job, JobPhase.CANCELLED)
+
+        self.run_with(scenario)
