--- a/azurelanding/deferred_ledger.py
+++ b/azurelanding/deferred_ledger.py
@@ -20,7 +20,7 @@
 from azurelanding.job_records import decode_key
 from azurelanding.record_faults import KEPT
 
-JOB_KINDS = frozenset(("work", "job", "cancel", "task", "end"))
+JOB_KINDS = frozenset(("pin", "work", "job", "cancel", "task", "end"))
 MAX_FOLDED_AT_ONCE_COUNT = 500
 """Limit on the records that are folded before other tasks of the event loop run."""
 
--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -26,9 +26,11 @@
     account's usage, ``ended`` the ``JobEnded`` records,
     ``objectives`` the objectives in seconds of the ended jobs, ``extra`` the other new
     records, ``dropped_jobs`` the jobs whose records are deleted,
-    ``dropped_cancellations`` those of which only the cancellation is, and
-    ``dropped_tasks`` the names of the tasks of ended jobs whose records are. ``is_cut``
-    is set once a change is left to the next decision.
+    ``dropped_cancellations`` those of which only the cancellation is, ``dropped_pins``
+    the names of deleted pins, and ``dropped_tasks`` the names of the tasks of ended
+    jobs whose records are. ``withdrawn`` holds the jobs whose submission is deleted, as
+    another pool runs them. ``is_cut`` is set once a change is left to the next
+    decision.
     """
 
     def __init__(self, ledger, pool):
@@ -43,7 +45,9 @@
         self.extra = []
         self.dropped_jobs = []
         self.dropped_cancellations = []
+        self.dropped_pins = []
         self.dropped_tasks = []
+        self.withdrawn = []
         self.is_cut = False
 
     def job(self, job_id):
@@ -138,6 +142,20 @@
         """Drop the cancellation of a job that has not become known."""
         self.dropped_cancellations.append(job_id)
 
+    def withdraw_job(self, job_id):
+        """Drop the submission of a job of which no task was ever started."""
+        self.withdrawn.append(job_id)
+
+    def drop_pins(self, names):
+        """Drop pins by the names of their records."""
+        self.dropped_pins.extend(names)
+
+    def drop_pinned(self, job_id):
+        """Drop the pins of a job, and before them what they withhold."""
+        if self.ledger.pins.withheld.get(job_id):
+            self.withdraw_job(job_id)
+        self.drop_pins(self.ledger.pins.pins[job_id])
+
     def drop_ended_tasks(self):
         """Drop the records of the tasks of ended jobs, those that end now among them.
 
@@ -163,6 +181,12 @@
                 yield encode_drop((kind, job_id))
         for job_id in self.dropped_cancellations:
             yield encode_drop(("cancel", job_id))
+        for job_id in self.withdrawn:
+            for kind in ("job", "work"):
+                yield encode_drop((kind, job_id))
+        # Without its pins a withheld submission would count.
+        for name in self.dropped_pins:
+            yield encode_drop(("pin", name))
         # A submission that is repeated after the end stores the work again.
         for job_id in (*self.ended, *self.dropped_jobs):
             if ("work", job_id) in self.ledger.offsets:
--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -86,7 +86,7 @@
     """Drop the records of jobs that ended more than ``retention`` seconds ago.
 
     Those of their tasks have to be dropped before. Cancellations of jobs that have not
-    become known are dropped after the same time.
+    become known are dropped after the same time, and so are pins.
     """
     ended_tasks = draft.ledger.ended_tasks
     for job_id, state in draft.ledger.jobs.items():
@@ -97,6 +97,8 @@
     for job_id, cancellation in draft.ledger.early_cancellations.items():
         if now > cancellation.at + retention:
             draft.drop_cancellation(job_id)
+    for job_id in draft.ledger.pins.expired(retention, now):
+        draft.drop_pinned(job_id)
 
 
 def unwanted_runs(state):
--- a/azurelanding/job_records.py
+++ b/azurelanding/job_records.py
@@ -7,12 +7,14 @@
 import msgspec
 
 from azurelanding.decoding import make_json_decoder
+from azurelanding.job_pins import JobPinned
 from azurelanding.jobs import MAX_TASKS_PER_JOB, TaskId, TaskState
 from azurelanding.ledger import (
     GrantAdopted,
     JobCancelled,
     JobEnded,
     JobSubmitted,
+    QueueMoved,
     TaskChanged,
     WorkersMissing,
     WorkersVacated,
@@ -36,6 +38,8 @@
         "vacated": WorkersVacated,
         "missing": WorkersMissing,
         "grant": GrantAdopted,
+        "moved": QueueMoved,
+        "pin": JobPinned,
     }.items()
 }
 _decode_task_state = make_json_decoder(TaskState, JobRecordError)
--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -7,13 +7,14 @@
 import enum
 import time
 
-import anyio
+import attrs
 import structlog
 
 from azurelanding.account_limits import never_fits
 from azurelanding.appender import NotStoredError, OutcomeUnknownError
 from azurelanding.job_records import encode_record
-from azurelanding.ledger import JobCancelled, submission_records
+from azurelanding.ledger import JobCancelled, QueueMoved, submission_records
+from azurelanding.pool_stream import refresh_all
 from azurelanding.store import StoreError
 
 logger = structlog.get_logger()
@@ -36,24 +37,10 @@
     """The state of a job can't be determined now because the store can't be read."""
 
 
-async def _refresh_all(streams, deadline):
-    """Read all ``streams`` to their ends by ``deadline``, at the same time.
-
-    Raises the ``StoreError`` of one that can't be read.
-    """
-    errors = []
-
-    async def refresh(stream):
-        try:
-            await stream.follower.refresh_within(deadline - time.monotonic())
-        except StoreError as error:
-            errors.append(error)
-
-    async with anyio.create_task_group() as task_group:
-        for stream in streams:
-            task_group.start_soon(refresh, stream)
-    if errors:
-        raise errors[0]
+def _progress(copy):
+    """Return the sort key by which the copy that runs or has run is the last."""
+    _, state = copy
+    return state.outcome is not None, bool(state.tasks), state.cancelled_at is not None
 
 
 class JobService:
@@ -61,29 +48,36 @@
 
     ``stream_of(pool)`` returns the ``PoolStream`` of a pool, ``streams()`` returns all
     that this daemon follows, and ``streams_of_all_pools()`` follows the others too.
-    ``has_moved(queue_name)`` returns whether a queue may have moved to another pool
-    lately, from this one or from one that is not known. ``maximum_of(account)`` returns
-    what an account may have running, as ``Resources``.
+    ``operator`` is the ``OperatorFold`` of the daemon. ``announced`` maps pairs of a
+    queue and a pool to the version with which it is stored that the queue left the
+    pool.
     """
 
-    def __init__(
-        self, stream_of, streams, streams_of_all_pools, has_moved, maximum_of, metrics
-    ):
+    def __init__(self, stream_of, streams, streams_of_all_pools, operator, metrics):
         self.stream_of = stream_of
         self.streams = streams
         self.streams_of_all_pools = streams_of_all_pools
-        self.has_moved = has_moved
-        self.maximum_of = maximum_of
+        self.operator = operator
         self.metrics = metrics
+        self.announced = {}
 
-    async def _find(self, job_id):
-        """Return the stream and state of a job as read so far, or two ``None``."""
+    async def _find_copies(self, job_id):
+        """Return the streams and states of a job as read so far.
+
+        There may be two for a moment, after a move of the job's queue.
+        """
+        copies = []
         for stream in self.streams():
             await stream.fold_job(job_id)
             state = stream.find(job_id)
             if state is not None:
-                return stream, state
-        return None, None
+                copies.append((stream, state))
+        return copies
+
+    async def _find(self, job_id):
+        """Return the stream and state of a job as read so far, or two ``None``."""
+        copies = await self._find_copies(job_id)
+        return max(copies, key=_progress, default=(None, None))
 
     async def _search(self, pool, job_id, deadline):
         """Read the streams; return the stream and state of a job, or two ``None``.
@@ -97,11 +91,10 @@
         try:
             await stream.follower.refresh_within(deadline - time.monotonic())
             await stream.fold_job(job_id)
-            state = stream.find(job_id)
-            if state is not None:
-                return stream, state
+            if stream.find(job_id) is not None:
+                return await self._find(job_id)
             others = [s for s in self.streams_of_all_pools() if s is not stream]
-            await _refresh_all(others, deadline)
+            await refresh_all(others, deadline)
         except StoreError as error:
             found, state = await self._find(job_id)
             if state is None:
@@ -132,12 +125,36 @@
         pool, where it would not be found as the same job. Raises ``StateUnknownError``.
         """
         _, known = await self._find(job.id)
-        if known is None and self.has_moved(job.queue):
+        if known is None and self.operator.has_moved(job.queue):
             if not self.stream_of(job.pool).appender.may_send():
                 raise StateUnknownError("the store has not answered lately")
+            await self._announce_move(job, deadline)
             _, known = await self._search(job.pool, job.id, deadline)
         return known
 
+    async def _announce_move(self, job, deadline):
+        """Store in the streams of the pools that a queue has left that it has.
+
+        Their controllers may not know the configuration yet under which ``job`` is
+        accepted. Raises ``StateUnknownError`` if that is not stored.
+        """
+        for pool, version in self.operator.pools_left(job.queue):
+            is_announced = self.announced.get((job.queue, pool), 0) >= version
+            if pool == job.pool or is_announced:
+                continue
+            stream = self.stream_of(pool)
+            records = (QueueMoved(job.queue, version),)
+            max_wait = deadline - time.monotonic()
+            acceptance, detail = await self._append(
+                stream, stream.appender, records, max_wait
+            )
+            if acceptance is not Acceptance.ACCEPTED:
+                raise StateUnknownError(f"move of the queue not stored: {detail}")
+            self.announced[job.queue, pool] = version
+            logger.info(
+                "move of queue stored", queue=job.queue, left=pool, version=version
+            )
+
     async def submit(self, job, timeout):
         """Submit ``job``; return the ``Acceptance``.
 
@@ -145,6 +162,7 @@
         ``timeout`` is in seconds.
         """
         started_at = time.monotonic()
+        job = attrs.evolve(job, configuration=self.operator.version_for(job))
         try:
             known = await self._find_submitted(job, started_at + timeout)
         except StateUnknownError as error:
@@ -154,7 +172,7 @@
                 acceptance, detail = Acceptance.REFUSED, "id of another account's job"
             elif known is not None:
                 acceptance, detail = Acceptance.ACCEPTED, "known already"
-            elif never_fits(job, self.maximum_of(job.account)):
+            elif never_fits(job, self.operator.maximum_of(job.account)):
                 acceptance, detail = Acceptance.REFUSED, "above the account's maximum"
             else:
                 stream = self.stream_of(job.pool)
@@ -188,7 +206,7 @@
         stored: in the stream of the queue's pool, or of one that it has moved from.
         """
         streams = [self.stream_of(queue.pool)]
-        if self.has_moved(queue.name):
+        if self.operator.has_moved(queue.name):
             others = self.streams_of_all_pools()
             streams += [stream for stream in others if stream is not streams[0]]
         for stream in streams:
@@ -201,6 +219,18 @@
                 return acceptance, detail
         return Acceptance.NO_JOB, f"stored for {len(streams)} partitions"
 
+    async def _cancel_copies(self, job_id, account, deadline):
+        """Cancel a job in each stream that has it."""
+        acceptance, detail = Acceptance.ACCEPTED, "ended"
+        for stream, state in await self._find_copies(job_id):
+            if state.cancelled_at is None and state.outcome is None:
+                acceptance, detail = await self._append_cancellation(
+                    stream, job_id, account, deadline
+                )
+            if acceptance is not Acceptance.ACCEPTED:
+                break
+        return acceptance, detail
+
     async def cancel(self, queue, job_id, timeout, account=""):
         """Cancel a job; return the ``Acceptance``. ``timeout`` is in seconds.
 
@@ -209,7 +239,7 @@
         """
         deadline = time.monotonic() + timeout
         try:
-            stream, state = await self._search(queue.pool, job_id, deadline)
+            _, state = await self._search(queue.pool, job_id, deadline)
         except StateUnknownError as error:
             logger.info("cancellation refused", job=job_id, reason=str(error))
             return Acceptance.REFUSED
@@ -222,9 +252,7 @@
         elif state.cancelled_at is not None or state.outcome is not None:
             acceptance, detail = Acceptance.ACCEPTED, state.phase.value
         else:
-            acceptance, detail = await self._append_cancellation(
-                stream, job_id, account, deadline
-            )
+            acceptance, detail = await self._cancel_copies(job_id, account, deadline)
         self.metrics.count(f"cancellations_{acceptance.value}")
         logger.info(
             "job cancelled", job=job_id, outcome=acceptance.value, detail=detail
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -104,7 +104,8 @@
     is 0 for a job that is due immediately. ``max_attempts``, ``priority`` (0 is the
     highest), ``stretch`` and ``target_duration`` (seconds) are copied from its queue at
     the time of acceptance. ``account`` is the client account that submitted it, empty
-    for none.
+    for none. ``configuration`` is the version of the configuration under which the job
+    was submitted, 0 if the queue's pool may have been another one under it.
     """
 
     id: str
@@ -121,6 +122,7 @@
     stretch: float = 1.0
     target_duration: float = 0.0
     account: str = ""
+    configuration: int = 0
 
     def due_at(self, occurrence):
         """Return the earliest start of an occurrence, in seconds since the epoch."""
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from azurelanding.job_pins import JobPinned, JobPins, job_of_pin
 from azurelanding.jobs import Job, JobOutcome, JobState, Step, TaskId, TaskState
 from azurelanding.pool_jobs import PoolJobs
 from azurelanding.store import StoredRecordError
@@ -100,26 +101,38 @@
     version: int
 
 
+@attrs.frozen
+class QueueMoved:
+    """A queue has left a pool of this partition.
+
+    It did with ``version`` of the configuration. Jobs that were submitted under an
+    earlier one may have been submitted again for the next pool.
+    """
+
+    queue: str
+    version: int
+
+
+KEYS = {
+    WorkSubmitted: lambda record: ("work", record.job),
+    JobSubmitted: lambda record: ("job", record.job.id),
+    JobCancelled: lambda record: ("cancel", record.job),
+    JobEnded: lambda record: ("end", record.job),
+    TaskChanged: lambda record: ("task", str(record.task)),
+    WorkersVacated: lambda record: ("vacated", record.pool),
+    WorkersMissing: lambda record: ("missing", record.pool),
+    GrantAdopted: lambda record: ("grant", f"{record.pool}/{record.account}"),
+    QueueMoved: lambda record: ("moved", record.queue),
+    JobPinned: lambda record: ("pin", record.name),
+}
+
+
 def record_key(record):
     """Return the compaction key of a record, which identifies what it describes."""
-    match record:
-        case WorkSubmitted():
-            return ("work", record.job)
-        case JobSubmitted():
-            return ("job", record.job.id)
-        case JobCancelled():
-            return ("cancel", record.job)
-        case JobEnded():
-            return ("end", record.job)
-        case TaskChanged():
-            return ("task", str(record.task))
-        case WorkersVacated():
-            return ("vacated", record.pool)
-        case WorkersMissing():
-            return ("missing", record.pool)
-        case GrantAdopted():
-            return ("grant", f"{record.pool}/{record.account}")
-    raise TypeError(f"no compaction key is defined for {record!r}")
+    make_key = KEYS.get(type(record))
+    if make_key is None:
+        raise TypeError(f"no compaction key is defined for {record!r}")
+    return make_key(record)
 
 
 class Ledger:
@@ -138,7 +151,9 @@
     records are still stored. ``early_cancellations`` holds the ``JobCancelled`` of jobs
     that are not known: a submission that is stored after it starts nothing.
     ``adopted`` maps pairs of a pool and an account to the version of the account's
-    division that the controller of the pool keeps to.
+    division that the controller of the pool keeps to. ``moved`` maps queues that have
+    left the partition's pools to the version of the configuration with which they last
+    did. ``pins`` are the ``JobPins`` of the partition.
     """
 
     def __init__(self):
@@ -161,6 +176,8 @@
         self.ended_tasks = {}
         self.early_cancellations = {}
         self.adopted = {}
+        self.moved = {}
+        self.pins = JobPins()
 
     def apply(self, key, record, offset):
         """Apply one record, or drop its key if ``record`` is ``None``.
@@ -172,6 +189,8 @@
         """
         if offset <= self.offsets.get(key, -1) or self._is_premature(record):
             return
+        if self._is_withheld(key, record, offset):
+            return
         self.offsets[key] = offset
         if record is None:
             self._drop(key)
@@ -188,6 +207,8 @@
                 self._set_task(record)
             case JobEnded():
                 self._end(record)
+            case JobPinned():
+                self.pins.add(record, offset, record.job in self.jobs)
             case _:
                 self._apply_to_pool(record)
 
@@ -200,6 +221,23 @@
                 self.missing[record.pool] = record.since
             case GrantAdopted():
                 self.adopted[record.pool, record.account] = record.version
+            case QueueMoved():
+                self.moved[record.queue] = record.version
+
+    def _is_withheld(self, key, record, offset):
+        """Return whether a submission has no effect, as its job is pinned elsewhere."""
+        match record:
+            case WorkSubmitted():
+                job_id = record.job
+            case JobSubmitted():
+                job_id = record.job.id
+            case _:
+                return False
+        if job_id in self.jobs or not self.pins.precede(job_id, offset):
+            return False
+        self.offsets[key] = offset
+        self.pins.withhold(job_id, key, record)
+        return True
 
     def _is_premature(self, record):
         """Return whether a record can't be applied before others on its job."""
@@ -219,6 +257,7 @@
             is_own = early is not None and early.account == job.account
             cancelled_at = early.at if is_own else None
             self.jobs[job.id] = JobState(job, cancelled_at=cancelled_at)
+            self.pins.note_known(job.id)
             self._activate(job.id)
 
     def _activate(self, job_id):
@@ -315,14 +354,26 @@
             self._remove(name)
             self.jobs.pop(name, None)
             self.ended_tasks.pop(name, None)
+            self.pins.drop_withheld(name, key)
         elif kind == "work":
             self.works.pop(name, None)
+            self.pins.drop_withheld(name, key)
         elif kind == "cancel":
             self.early_cancellations.pop(name, None)
         elif kind == "task":
             self._drop_ended_task(name)
+        elif kind == "pin":
+            self._unpin(name)
         self.offsets.pop(key, None)
 
+    def _unpin(self, name):
+        """Remove a pin, so that what it withheld counts as if it was stored now."""
+        if job_of_pin(name) in self.jobs:
+            self.pins.remove(name)
+            return
+        for key, record in self.pins.remove(name).items():
+            self.apply(key, record, self.offsets.pop(key))
+
     def _drop_ended_task(self, name):
         job_id = name.partition(".")[0]
         names = self.ended_tasks.get(job_id)
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -22,6 +22,7 @@
 from azurelanding.fleet_workers import WorkerPhase
 from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
 from azurelanding.jobs import RunEnd
+from azurelanding.late_submissions import LateSubmissions
 from azurelanding.ledger import WorkersVacated
 from azurelanding.pool_accounts import PoolAccounts
 from azurelanding.pool_links import PoolLinks
@@ -101,6 +102,7 @@
         )
         self.permits = daemon.make_start_permits()
         self.accounts = PoolAccounts(pool, daemon)
+        self.late_submissions = LateSubmissions(pool, epoch, stream, daemon, self.wake)
         self.is_lost = False
         self.waits_for_answers = False
         self.decision_scope = anyio.CancelScope()
@@ -136,6 +138,7 @@
             for name, run in (
                 (f"request permits {self.pool}", self.permits.run),
                 (f"watch links {self.pool}", self.pool_links.run_watch),
+                (f"check jobs {self.pool}", self.late_submissions.run),
             ):
                 task_group.start_soon(keep_running, name, run, self.metrics)
             try:
@@ -219,6 +222,8 @@
         draft.drop_ended_tasks()
         self._drop_expired_jobs(draft)
         self.accounts.adopt(draft)
+        draft.drop_pins(self.ledger.pins.void)
+        self.late_submissions.withdraw(draft)
         starts = self._place(draft)
         records = draft.records()
         if records and not await self._store(records):
@@ -349,6 +354,7 @@
         ready_steps = [
             ready
             for state in draft.startable_jobs(bounds.may_fit)
+            if self.late_submissions.may_start(state)
             for ready in job_placement.ready_steps(
                 state,
                 now,
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -1,24 +1,60 @@
 """Read and append the job records of one partition, and maintain their ledger."""
 
 import contextlib
+import time
+
+import anyio
 
 from azurelanding.appender import Appender
 from azurelanding.deferred_ledger import DeferredLedger
 from azurelanding.job_records import decode_key, decode_record
 from azurelanding.ledger import Ledger
 from azurelanding.record_faults import RecordFaults
-from azurelanding.store import Producer, stored_records
+from azurelanding.store import Producer, StoreError, stored_records
 from azurelanding.supervision import keep_running
 from azurelanding.topic_follower import TopicFollower
 
 TOPIC = "jobs"
-LOAD_ORDER = ("work", "job", "cancel", "task", "end", "vacated", "missing", "grant")
-"""Jobs load before records on them; a repeated job record may have a later offset."""
+LOAD_ORDER = (
+    "pin",
+    "work",
+    "job",
+    "cancel",
+    "task",
+    "end",
+    "vacated",
+    "missing",
+    "grant",
+    "moved",
+)
+"""Jobs load before records on them; a repeated job record may have a later offset. Pins
+load first, as they tell which submissions count."""
 CANCELLATIONS_SUFFIX = "-cancellations"
 READ_WAIT_SECONDS = 1.0
 """Longest wait of a read at the store; short, to detect a silent connection early."""
 
 
+async def refresh_all(streams, deadline):
+    """Read all ``streams`` to their ends by ``deadline``, at the same time.
+
+    ``deadline`` is by ``time.monotonic``. Raises the ``StoreError`` of one that can't
+    be read.
+    """
+    errors = []
+
+    async def refresh(stream):
+        try:
+            await stream.follower.refresh_within(deadline - time.monotonic())
+        except StoreError as error:
+            errors.append(error)
+
+    async with anyio.create_task_group() as task_group:
+        for stream in streams:
+            task_group.start_soon(refresh, stream)
+    if errors:
+        raise errors[0]
+
+
 class LedgerFold:
     """Decodes stored records and applies them to a ledger."""
 
@@ -115,6 +151,12 @@
         """Return the ``JobState`` of a job as read so far, or ``None``."""
         return self.deferred.find(job_id)
 
+    def is_pinned(self, job_id, pool):
+        """Return whether a controller of ``pool`` has pinned a job, as read so far."""
+        self.find(job_id)
+        pins = self.deferred.fold.ledger.pins.pins.get(job_id, {})
+        return any(pin.record.pool == pool for pin in pins.values())
+
     def is_cancelled_early(self, job_id):
         """Return whether a job was cancelled that is not known, as read so far."""
         return self.find(job_id) is None and (
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -112,9 +112,8 @@
         self.service = JobService(
             self.stream_of,
             lambda: list(self.streams.values()),
-            self._streams_of_all_pools,
-            self.operator.has_moved,
-            self.operator.maximum_of,
+            self.streams_of_all_pools,
+            self.operator,
             self.metrics,
         )
         self.member = GroupMember.from_config(
@@ -176,7 +175,7 @@
         """Return the ``PoolStream`` of a pool, which is started on first use."""
         return self._stream_at(partition_of(pool, self.site.store.partitions))
 
-    def _streams_of_all_pools(self):
+    def streams_of_all_pools(self):
         """Return the streams of all pools, also of those that no queue uses."""
         for pool in self.operator.configuration.pools:
             self.stream_of(pool)
--- a/azurelanding/site_state.py
+++ b/azurelanding/site_state.py
@@ -23,8 +23,10 @@
 
     ``decode(record)`` returns a ``Configuration``, a ``WaveRequest`` or ``None``.
     ``pools`` maps each queue to its last pool, and ``moved_at`` those that have moved
-    to another pool to the ``boot_time`` of that. ``first_read_at`` is the ``boot_time``
-    of the first configuration, ``None`` before it.
+    to another pool to the ``boot_time`` of that. ``left`` maps queues to the pools that
+    they have left, and each of these to the version with which they last did.
+    ``first_read_at`` is the ``boot_time`` of the first configuration, ``None`` before
+    it.
     """
 
     def __init__(self, decode):
@@ -32,6 +34,7 @@
         self.configuration = None
         self.pools = {}
         self.moved_at = {}
+        self.left = {}
         self.first_read_at = None
         self.waves = {}
         self.changes = Notifier()
@@ -66,8 +69,10 @@
         if self.first_read_at is None:
             self.first_read_at = boot_time()
         for queue in configuration.queues:
-            if self.pools.setdefault(queue.name, queue.pool) != queue.pool:
+            pool = self.pools.setdefault(queue.name, queue.pool)
+            if pool != queue.pool:
                 self.moved_at[queue.name] = boot_time()
+                self.left.setdefault(queue.name, {})[pool] = configuration.version
             self.pools[queue.name] = queue.pool
         logger.info(
             "configuration activated",
@@ -79,6 +84,31 @@
         """Return whether the configuration in force names a pool."""
         return self.configuration is not None and name in self.configuration.pools
 
+    def version_for(self, job):
+        """Return the version in force, 0 if it sends the queue of ``job`` elsewhere."""
+        configuration = self.configuration
+        queue = configuration and configuration.queues_by_name.get(job.queue)
+        is_current = queue is not None and queue.pool == job.pool
+        return configuration.version if is_current else 0
+
+    def has_left(self, job):
+        """Return whether the queue of a job has left its pool since it was submitted.
+
+        A submission under a version that isn't known yet counts as sound.
+        """
+        configuration = self.configuration
+        if configuration is None or job.configuration >= configuration.version:
+            return False
+        queue = configuration.queues_by_name.get(job.queue)
+        return queue is not None and queue.pool != job.pool
+
+    def pools_left(self, queue_name):
+        """Return pairs of a pool that a queue has left, and the version with which.
+
+        Only what this process has seen is known.
+        """
+        return tuple(self.left.get(queue_name, {}).items())
+
     def maximum_of(self, account):
         """Return the configured maximum of an account, no limits if it has none."""
         accounts = (self.configuration and self.configuration.accounts) or {}
--- a/azurelanding/tests/test_job_service.py
+++ b/azurelanding/tests/test_job_service.py
@@ -11,9 +11,9 @@
 from azurelanding.ledger import submission_records
 from azurelanding.pool_stream import TOPIC, PoolStream
 from azurelanding.served_metrics import ServedMetrics
+from azurelanding.site_state import OperatorFold
 from azurelanding.standins.platform_store import ModelClient, StoreModel
 from azurelanding.store import Producer
-from azurelanding.tasks import Resources
 from azurelanding.tests.platform_world import World, make_job, make_queue, until
 from azurelanding.tests.test_pool_control import submit, until_phase
 
@@ -71,8 +71,7 @@
                 lambda pool: stream,
                 lambda: [stream],
                 lambda: [stream],
-                lambda queue_name: False,
-                lambda account: Resources(),
+                OperatorFold(None),
                 ServedMetrics(),
             )
             async with anyio.create_task_group() as task_group:
--- a/azurelanding/tests/test_ledger.py
+++ b/azurelanding/tests/test_ledger.py
@@ -6,6 +6,7 @@
 
 from azurelanding import job_ends
 from azurelanding.job_draft import JobDraft
+from azurelanding.job_pins import JobPinned
 from azurelanding.job_records import decode_record, encode_record
 from azurelanding.jobs import JobOutcome, JobPhase, TaskId, TaskState
 from azurelanding.ledger import (
@@ -24,6 +25,7 @@
 from azurelanding.topic_follower import TopicFollower
 
 JOB = make_job("a" * 16, (make_step(2),), max_attempts=2)
+PIN = JobPinned(JOB.id, "labels", 7000, 1, 3.0)
 FIRST = TaskId(JOB.id, 0, 0, 0)
 
 
@@ -172,3 +174,72 @@
             with testtools.ExpectedException(StoredRecordError):
                 ledger.apply(key, record, 9)
         self.assertEqual(({}, {}), (ledger.placed, ledger.active[JOB.id].tasks))
+
+
+class PinnedJobTest(testtools.TestCase):
+    """Submissions that are stored before or after their job is pinned elsewhere."""
+
+    def load(self, *records, start=0):
+        """Return a ledger that has loaded ``records`` as the newest of their keys."""
+        stored = {}
+        for offset, record in enumerate(records, start):
+            key, value = encode_record(record)
+            stored[key] = StoredRecord(key, value, offset)
+        ledger_fold = LedgerFold(Ledger())
+        for record in sorted(stored.values(), key=ledger_fold.load_order):
+            ledger_fold.apply_stored(record)
+        return ledger_fold.ledger
+
+    def apply_drops(self, ledger, draft, start):
+        for offset, (text, value) in enumerate(draft.records(), start):
+            ledger.apply(*decode_record(text, value), offset)
+
+    def test_submission_after_a_pin_has_no_effect_for_any_reader(self):
+        records = (PIN, *submission_records(JOB))
+        for ledger in (fold(Ledger(), *records), self.load(*records)):
+            self.assertEqual(({}, {}, {}), (ledger.jobs, ledger.works, ledger.active))
+            self.assertEqual({}, ledger.pins.void)
+
+    def test_submission_before_a_pin_counts_for_any_reader(self):
+        records = (*submission_records(JOB), PIN)
+        for ledger in (fold(Ledger(), *records), self.load(*records)):
+            self.assertEqual([JOB.id], list(ledger.active))
+            self.assertEqual([PIN.name], list(ledger.pins.void))
+
+    def test_submission_repeated_after_a_void_pin_counts_once_that_is_dropped(self):
+        # Compaction keeps the later submission, as if the first had not been stored.
+        loaded = self.load(*submission_records(JOB), PIN, *submission_records(JOB))
+        self.assertEqual({}, loaded.active)
+        loaded.apply(record_key(PIN), None, 5)
+        self.assertEqual([JOB.id], list(loaded.active))
+        self.assertEqual(JOB, loaded.active[JOB.id].job)
+
+    def test_pins_of_two_controllers_withhold_what_follows_the_first(self):
+        second = JobPinned(JOB.id, "archive", 9000, 1, 4.0)
+        records = (PIN, *submission_records(JOB), second)
+        for ledger in (fold(Ledger(), *records), self.load(*records)):
+            self.assertEqual({}, ledger.jobs)
+
+    def test_expired_pin_is_dropped_after_what_it_withholds(self):
+        ledger = fold(Ledger(), PIN, *submission_records(JOB))
+        for now, dropped in ((122.0, 0), (124.0, 3)):
+            draft = JobDraft(ledger, "cuts")
+            job_ends.drop_expired_jobs(draft, 120.0, now)
+            self.assertEqual(dropped, len(draft.records()))
+        self.apply_drops(ledger, draft, 3)
+        self.assertEqual(({}, {}), (ledger.jobs, ledger.offsets))
+        self.assertEqual(({}, {}), (ledger.pins.pins, ledger.pins.withheld))
+
+    def test_expired_pin_that_withholds_nothing_is_dropped_alone(self):
+        ledger = fold(Ledger(), PIN)
+        draft = JobDraft(ledger, "cuts")
+        job_ends.drop_expired_jobs(draft, 120.0, 124.0)
+        self.assertEqual([(f"pin/{PIN.name}", None)], draft.records())
+
+    def test_withdrawn_submission_leaves_nothing(self):
+        ledger = fold(Ledger(), *submission_records(JOB))
+        draft = JobDraft(ledger, "cuts")
+        draft.withdraw_job(JOB.id)
+        self.apply_drops(ledger, draft, 2)
+        self.assertEqual(({}, {}, {}), (ledger.jobs, ledger.active, ledger.offsets))
+        self.assertEqual(0, ledger.pending("q"))
--- a/azurelanding/tests/test_random_disruptions.py
+++ b/azurelanding/tests/test_random_disruptions.py
@@ -36,10 +36,10 @@
     lease was last found to be over.
     """
 
-    def __init__(self, name, record):
+    def __init__(self, name, record, pool="cuts"):
         self.record = record
         self.lapsed_at = 0.0
-        super().__init__(name, "cuts")
+        super().__init__(name, pool)
 
     def restart(self):
         super().restart()
@@ -135,11 +135,15 @@
 
 
 class Disruptions:
-    """The disruptions of a ``World`` with ``CheckedWorker``s, drawn from a seed."""
+    """The disruptions of a ``World`` with ``CheckedWorker``s, drawn from a seed.
+
+    ``repairs`` holds the functions that end those which last.
+    """
 
     def __init__(self, seed, world):
         self.random = random.Random(seed)
         self.world = world
+        self.repairs = []
 
     async def run(self):
         """Disrupt the site until cancelled."""
@@ -157,12 +161,17 @@
             self.delay_appends,
             self.lose_answers_of_store,
         )
+        await self.run_kinds(kinds)
+
+    async def run_kinds(self, kinds):
+        """Disrupt the site in the ways of ``kinds`` until cancelled."""
         async with anyio.create_task_group() as task_group:
             while True:
                 await anyio.sleep(self.random.uniform(0.05, 0.5))
                 model = self.random.choice(list(self.world.fleet.models.values()))
                 repair = self.random.choice(kinds)(model)
                 if repair is not None:
+                    self.repairs.append(repair)
                     seconds = self.random.choice(PERIODS)
                     task_group.start_soon(self._repair_later, seconds, repair)
 
@@ -209,7 +218,7 @@
         for stream in daemon.streams.values():
             clients += [stream.appender.client, stream.cancellations.client]
             clients += [stream.follower.reader, stream.follower.refresher]
-        return self._switch(clients, "cut")
+        return self.switch(clients, "cut")
 
     def expire_member(self, _model):
         group = self.world.store.groups["control"]
@@ -218,7 +227,7 @@
             self.world.store.assign("control", ("jobs",))
 
     def refuse_at_store(self, _model):
-        return self._switch([self.world.store.knobs], "refuse")
+        return self.switch([self.world.store.knobs], "refuse")
 
     def delay_appends(self, _model):
         self.world.store.knobs.delay_appends = self.random.randint(1, 2)
@@ -227,7 +236,7 @@
     def lose_answers_of_store(self, _model):
         self.world.store.knobs.lose_replies = self.random.randint(1, 3)
 
-    def _switch(self, objects, name):
+    def switch(self, objects, name):
         """Set an attribute of some objects; return a function that resets it."""
 
         def switch(state):
