--- a/azurelanding/appender.py
+++ b/azurelanding/appender.py
@@ -170,20 +170,20 @@
         self._begin_epoch()
 
     def _begin_epoch(self):
+        """Go on under a higher epoch, which fences the appends under the last one."""
         self.producer = attrs.evolve(self.producer, epoch=self.producer.epoch + 1)
         self.sequence = 1
+        self.is_epoch_registered = not self.withdraws
 
     def _withdraw(self, batch):
         """Stop repeating ``batch``, and have its earlier attempts rejected."""
         self._begin_epoch()
-        self.is_epoch_registered = False
+        keys = [key for pending in batch for key, _ in pending.records]
         logger.info(
             "append withdrawn",
             topic=self.topic,
             partition=self.partition,
-            keys=[key for pending in batch for key, _ in pending.records][
-                :MAX_LOGGED_KEYS
-            ],
+            keys=keys[:MAX_LOGGED_KEYS],
             epoch=self.producer.epoch,
         )
 
@@ -193,11 +193,16 @@
             await self.client.append(self.topic, self.partition, (), self.producer, 0)
         except StoreFencedError as error:
             self._fail_fenced([], error, may_be_stored=False)
-        except StoreError as error:
-            logger.info("epoch not registered, retrying", reason=str(error))
+        except StoreError:
             await self._wait_to_retry()
         else:
             self.is_epoch_registered = True
+            logger.info(
+                "epoch registered",
+                topic=self.topic,
+                partition=self.partition,
+                epoch=self.producer.epoch,
+            )
 
     async def _send(self, batch):
         """Append one batch and settle its pending appends."""
--- a/azurelanding/tests/test_appender.py
+++ b/azurelanding/tests/test_appender.py
@@ -208,3 +208,32 @@
             return [record.key for record in store.partitions["jobs", 0].records]
 
         self.assertEqual(["a", "b"], anyio.run(main))
+
+    def test_interrupted_append_is_rejected_if_it_arrives_late(self):
+        class InterruptedClient(ModelClient):
+            async def append(self, topic, partition, records, producer, sequence):
+                if not records:
+                    return await super().append(
+                        topic, partition, records, producer, sequence
+                    )
+                target = self.model.partitions[topic, partition]
+                self.model.delayed.append((target, records, producer, sequence))
+                raise RuntimeError("unexpected")
+
+        async def main():
+            store = StoreModel(1)
+            client = InterruptedClient(store)
+            appender = Appender("jobs", 0, client, Producer("p", 1), withdraws=True)
+            async with anyio.create_task_group() as task_group:
+                metrics = ServedMetrics()
+                task_group.start_soon(keep_running, "append", appender.run, metrics)
+                with testtools.ExpectedException(OutcomeUnknownError):
+                    await appender.append([("a", b"1")], 2.0)
+                with anyio.fail_after(2.0):
+                    while not appender.is_epoch_registered:  # noqa: ASYNC110
+                        await anyio.sleep(0.01)
+                store.release()
+                task_group.cancel_scope.cancel()
+            return [record.key for record in store.partitions["jobs", 0].records]
+
+        self.assertEqual([], anyio.run(main))
