--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -133,10 +133,10 @@
         return known
 
     async def _announce_move(self, job, deadline):
-        """Store in the streams of the pools that a queue has left that it has.
+        """Store the move of a queue in the streams of the pools that it has left.
 
         Their controllers may not know the configuration yet under which ``job`` is
-        accepted. Raises ``StateUnknownError`` if that is not stored.
+        accepted. Raises ``StateUnknownError`` if the move can't be stored.
         """
         for pool, version in self.operator.pools_left(job.queue):
             is_announced = self.announced.get((job.queue, pool), 0) >= version
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -189,7 +189,7 @@
         """
         if offset <= self.offsets.get(key, -1) or self._is_premature(record):
             return
-        if self._is_withheld(key, record, offset):
+        if self._withhold(key, record, offset):
             return
         self.offsets[key] = offset
         if record is None:
@@ -224,8 +224,8 @@
             case QueueMoved():
                 self.moved[record.queue] = record.version
 
-    def _is_withheld(self, key, record, offset):
-        """Return whether a submission has no effect, as its job is pinned elsewhere."""
+    def _withhold(self, key, record, offset):
+        """Keep a submission apart if its job is pinned; return whether it is."""
         match record:
             case WorkSubmitted():
                 job_id = record.job
