--- a/azurelanding/tests/test_late_submissions.py
+++ b/azurelanding/tests/test_late_submissions.py
@@ -1,13 +1,16 @@
 """Test jobs that may have been submitted for two pools, as their queue has moved."""
 
+import time
+
 import anyio
 import attrs
 import testtools
 
+from azurelanding.job_pins import JobPinned
 from azurelanding.job_records import encode_record
 from azurelanding.job_service import Acceptance
 from azurelanding.jobs import JobOutcome, JobPhase, JobState, TaskId, TaskState
-from azurelanding.late_submissions import Resolution, resolve
+from azurelanding.late_submissions import LateSubmissions, Resolution, resolve
 from azurelanding.ledger import submission_records
 from azurelanding.membership import partition_of
 from azurelanding.store import Producer
@@ -95,6 +98,11 @@
         world = self.world
         await until(lambda: any(self.left in d.controllers for d in world.daemons))
 
+    def read_copies(self, daemon):
+        """Return the states of the job that a daemon has read."""
+        states = [stream.find(self.job.id) for stream in daemon.streams.values()]
+        return [state for state in states if state is not None]
+
     def starts(self):
         """Return how often each task was started."""
         return list(count_starts(self.world, self.job).values())
@@ -180,6 +188,38 @@
 
         self.run_in_both_directions(scenario)
 
+    def test_pin_of_a_known_job_is_dropped(self):
+        # It would withhold the job from readers that load the stream.
+        async def scenario(world):
+            await self.until_controlled()
+            await submit(world, self.job)
+            pin = JobPinned(self.job.id, self.entered, 7000, 1, time.time())
+            self.partition().append([encode_record(pin)], Producer("late", 1), 1)
+            await until(lambda: f"pin/{pin.name}" not in self.partition().newest)
+            await until_phase(world, self.job, JobPhase.COMPLETED)
+
+        self.run_in_both_directions(scenario)
+
+    def test_cancellation_is_stored_for_each_submission(self):
+        # That of the late one alone would leave the other running.
+        self.patch(LateSubmissions, "run", lambda self: anyio.sleep_forever())
+
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 2.0
+            await self.until_controlled()
+            await self.move_queue()
+            await submit(world, self.again)
+            await until(self.starts)
+            self.store_late()
+            (daemon,) = world.daemons
+            await until(lambda: len(self.read_copies(daemon)) == 2)
+            await daemon.service.cancel(self.queue, self.job.id, 5.0)
+            copies = self.read_copies(daemon)
+            self.assertTrue(all(state.cancelled_at for state in copies))
+
+        self.run_in_both_directions(scenario, daemons=1)
+
     def test_cancellation_reaches_both_submissions(self):
         async def scenario(world):
             await self.until_controlled()
