--- a/azurelanding/tests/test_late_submissions.py
+++ b/azurelanding/tests/test_late_submissions.py
@@ -206,7 +206,7 @@
 
         async def scenario(world):
             for model in world.fleet.models.values():
-                model.knobs.run_time = 2.0
+                model.knobs.run_time = 30.0
             await self.until_controlled()
             await self.move_queue()
             await submit(world, self.again)
