--- a/azurelanding/appender.py
+++ b/azurelanding/appender.py
@@ -32,7 +32,8 @@
 900 a second, below what the store takes from all of them."""
 MAX_BATCH_BYTES = 500_000
 """Limit of one append: a quarter of the store's limit, so that each append is fast."""
-MAX_LOGGED_KEYS = 20
+MAX_LOGGED_KEYS_COUNT = 20
+"""Limit on the keys in one line of the log."""
 
 
 class NotStoredError(StoreError):
@@ -183,7 +184,7 @@
             "append withdrawn",
             topic=self.topic,
             partition=self.partition,
-            keys=keys[:MAX_LOGGED_KEYS],
+            keys=keys[:MAX_LOGGED_KEYS_COUNT],
             epoch=self.producer.epoch,
         )
 
--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -152,7 +152,7 @@
 
     def drop_pinned(self, job_id):
         """Drop the pins of a job, and before them what they withhold."""
-        if self.ledger.pins.withheld.get(job_id):
+        if job_id in self.ledger.pins.withheld:
             self.withdraw_job(job_id)
         self.drop_pins(self.ledger.pins.pins[job_id])
 
--- a/azurelanding/job_pins.py
+++ b/azurelanding/job_pins.py
@@ -12,7 +12,7 @@
 
 @attrs.frozen
 class JobPinned:
-    """A submission of ``job`` that is stored here later has no effect.
+    """A submission of ``job`` by ``account`` that is stored here later has no effect.
 
     The controller of ``pool`` under ``epoch`` decides on the job. ``attempt`` numbers
     its attempts to store pins. ``at`` is in seconds since the epoch.
@@ -23,6 +23,7 @@
     epoch: int
     attempt: int
     at: float
+    account: str = ""
 
     @property
     def name(self):
@@ -53,10 +54,11 @@
 class JobPins:
     """The pins of one partition, and the submissions that they withhold.
 
-    ``pins`` maps jobs to their ``Pin`` by name, ``withheld`` maps jobs to the withheld
-    records by key. ``void`` holds the names of the pins of jobs that are known, which
-    have no effect. They are to be dropped: compaction keeps only the last record of a
-    key, so they would withhold a submission that was repeated after them on a load.
+    ``pins`` maps jobs to their ``Pin`` by name, and ``withheld`` maps jobs to the
+    record and the offset of their withheld submission. ``void`` holds the names of the
+    pins of jobs that are known, which have no effect. They are to be dropped:
+    compaction keeps only the last record of a key, so they would withhold a submission
+    that was repeated after them on a load.
     """
 
     def __init__(self):
@@ -64,39 +66,46 @@
         self.withheld = {}
         self.void = {}
 
-    def add(self, record, offset, is_known):
-        """Add a pin; ``is_known`` says whether its job was submitted before."""
+    def add(self, record, offset, known_job):
+        """Add a pin; ``known_job`` is the job with its id, or ``None``."""
         self.pins.setdefault(record.job, {})[record.name] = Pin(record, offset)
-        if is_known:
-            self.note_known(record.job)
+        if known_job is not None:
+            self.note_known(known_job)
 
-    def note_known(self, job_id):
+    def _pins_of(self, job):
+        """Return the pins of ``job``, without those of another account's."""
+        pins = self.pins.get(job.id, {}).values()
+        return [pin for pin in pins if pin.record.account == job.account]
+
+    def note_known(self, job):
         """Note that a job is known, so that its pins have no effect."""
-        self.void.update(dict.fromkeys(self.pins.get(job_id, ())))
+        self.void.update((pin.record.name, None) for pin in self._pins_of(job))
 
-    def precede(self, job_id, offset):
+    def precede(self, job, offset):
         """Return whether a job was pinned before ``offset``."""
-        pins = self.pins.get(job_id, {}).values()
-        return any(pin.offset < offset for pin in pins)
+        return any(pin.offset < offset for pin in self._pins_of(job))
 
-    def withhold(self, job_id, key, record):
-        """Keep a record of a submission apart."""
-        self.withheld.setdefault(job_id, {})[key] = record
+    def is_pinned_by(self, job, pool):
+        """Return whether a controller of ``pool`` has pinned a job."""
+        return any(pin.record.pool == pool for pin in self._pins_of(job))
 
-    def drop_withheld(self, job_id, key):
-        """Drop a record of a submission, if it was withheld."""
-        self.withheld.get(job_id, {}).pop(key, None)
+    def withhold(self, record, offset):
+        """Keep the record of a submission apart."""
+        self.withheld[record.job.id] = record, offset
 
     def remove(self, name):
-        """Remove a pin; return by key what is no longer withheld."""
+        """Remove a pin.
+
+        Returns the record that is no longer withheld and its offset, or ``None``.
+        """
         job_id = job_of_pin(name)
         self.void.pop(name, None)
         pins = self.pins.get(job_id, {})
         pins.pop(name, None)
         if pins:
-            return {}
+            return None
         self.pins.pop(job_id, None)
-        return self.withheld.pop(job_id, {})
+        return self.withheld.pop(job_id, None)
 
     def expired(self, retention, now):
         """Yield the jobs whose pins are all older than ``retention`` seconds."""
--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -74,12 +74,16 @@
                 copies.append((stream, state))
         return copies
 
-    async def _find(self, job_id):
-        """Return the stream and state of a job as read so far, or two ``None``."""
+    async def _find(self, job_id, account):
+        """Return the stream and state of a job as read so far, or two ``None``.
+
+        Of jobs with one id, that of ``account`` comes first.
+        """
         copies = await self._find_copies(job_id)
-        return max(copies, key=_progress, default=(None, None))
+        own = [copy for copy in copies if copy[1].job.account == account]
+        return max(own or copies, key=_progress, default=(None, None))
 
-    async def _search(self, pool, job_id, deadline):
+    async def _search(self, pool, job_id, account, deadline):
         """Read the streams; return the stream and state of a job, or two ``None``.
 
         The stream of ``pool`` is read first.
@@ -92,15 +96,15 @@
             await stream.follower.refresh_within(deadline - time.monotonic())
             await stream.fold_job(job_id)
             if stream.find(job_id) is not None:
-                return await self._find(job_id)
+                return await self._find(job_id, account)
             others = [s for s in self.streams_of_all_pools() if s is not stream]
             await refresh_all(others, deadline)
         except StoreError as error:
-            found, state = await self._find(job_id)
+            found, state = await self._find(job_id, account)
             if state is None:
                 raise StateUnknownError(str(error)) from error
             return found, state
-        return await self._find(job_id)
+        return await self._find(job_id, account)
 
     async def _append(self, stream, appender, records, timeout):
         """Store and apply records; return the ``Acceptance`` and a detail to log."""
@@ -124,12 +128,12 @@
         After a move of its queue an earlier attempt may be in the stream of another
         pool, where it would not be found as the same job. Raises ``StateUnknownError``.
         """
-        _, known = await self._find(job.id)
+        _, known = await self._find(job.id, job.account)
         if known is None and self.operator.has_moved(job.queue):
             if not self.stream_of(job.pool).appender.may_send():
                 raise StateUnknownError("the store has not answered lately")
             await self._announce_move(job, deadline)
-            _, known = await self._search(job.pool, job.id, deadline)
+            _, known = await self._search(job.pool, job.id, job.account, deadline)
         return known
 
     async def _announce_move(self, job, deadline):
@@ -220,9 +224,11 @@
         return Acceptance.NO_JOB, f"stored for {len(streams)} partitions"
 
     async def _cancel_copies(self, job_id, account, deadline):
-        """Cancel a job in each stream that has it."""
+        """Cancel a job of ``account`` in each stream that has it."""
         acceptance, detail = Acceptance.ACCEPTED, "ended"
         for stream, state in await self._find_copies(job_id):
+            if self._is_foreign(state, account):
+                continue
             if state.cancelled_at is None and state.outcome is None:
                 acceptance, detail = await self._append_cancellation(
                     stream, job_id, account, deadline
@@ -239,7 +245,7 @@
         """
         deadline = time.monotonic() + timeout
         try:
-            _, state = await self._search(queue.pool, job_id, deadline)
+            _, state = await self._search(queue.pool, job_id, account, deadline)
         except StateUnknownError as error:
             logger.info("cancellation refused", job=job_id, reason=str(error))
             return Acceptance.REFUSED
@@ -267,10 +273,10 @@
         ``timeout`` is in seconds. Raises ``StateUnknownError`` when the store can't be
         read within it and the job is not in any stream as read so far.
         """
-        _, state = await self._find(job_id)
+        _, state = await self._find(job_id, account)
         if state is None or state.outcome is None:
             deadline = time.monotonic() + timeout
-            _, state = await self._search(queue.pool, job_id, deadline)
+            _, state = await self._search(queue.pool, job_id, account, deadline)
         is_hidden = state is None or self._is_foreign(state, account)
         return None if is_hidden else state.phase
 
--- a/azurelanding/late_submissions.py
+++ b/azurelanding/late_submissions.py
@@ -139,7 +139,7 @@
             last = self.doubtful.pop(job_id)
             state = self.stream.ledger.active.get(job_id)
             if state is not None and not state.is_over:
-                await self._resolve(job_id, others, last)
+                await self._resolve(state.job, others, last)
         self.cleared &= self.stream.ledger.active.keys()
         self.wake()
 
@@ -149,9 +149,11 @@
         attempt, records = self.attempts, []
         for job_id in job_ids:
             await stream.fold_job(job_id)
-            if not (stream.find(job_id) or stream.is_pinned(job_id, self.pool)):
-                pin = JobPinned(job_id, self.pool, self.epoch, attempt, time.time())
-                records.append(encode_record(pin))
+            state = self.stream.ledger.active.get(job_id)
+            if state is None or stream.find(job_id) is not None:
+                continue
+            if not stream.is_pinned(state.job, self.pool):
+                records.append(encode_record(self._make_pin(state.job, attempt)))
         if not records:
             return
         try:
@@ -161,31 +163,36 @@
             return
         stream.apply_appended(records, offset)
 
-    async def _resolve(self, job_id, others, last):
+    def _make_pin(self, job, attempt):
+        now = time.time()
+        return JobPinned(job.id, self.pool, self.epoch, attempt, now, job.account)
+
+    async def _resolve(self, job, others, last):
         """Decide on one job by what the other streams hold now.
 
-        ``last`` is the ``Resolution`` of the check before, if there was one.
+        ``last`` is the ``Resolution`` of the check before, if there was one. Another
+        account's job with the same id is another job.
         """
         copies = []
         for stream in others:
-            await stream.fold_job(job_id)
-            state = stream.find(job_id)
-            if state is not None:
+            await stream.fold_job(job.id)
+            state = stream.find(job.id)
+            if state is not None and state.job.account == job.account:
                 copies.append((stream.partition, state))
-            elif not stream.is_pinned(job_id, self.pool):
-                self.doubtful[job_id] = last
+            elif state is None and not stream.is_pinned(job, self.pool):
+                self.doubtful[job.id] = last
                 return
         resolution = resolve(self.stream.partition, copies)
         if resolution is Resolution.START:
-            self.cleared.add(job_id)
+            self.cleared.add(job.id)
         elif resolution is Resolution.WITHDRAW:
-            self.superseded[job_id] = copies[0][0]
+            self.superseded[job.id] = copies[0][0]
         else:
-            self.doubtful[job_id] = resolution
+            self.doubtful[job.id] = resolution
         if resolution is not last:
             logger.info(
                 "late submission checked",
-                job=job_id,
+                job=job.id,
                 pool=self.pool,
                 resolution=resolution.value,
                 copies=[partition for partition, _ in copies],
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from azurelanding.job_pins import JobPinned, JobPins, job_of_pin
+from azurelanding.job_pins import JobPinned, JobPins
 from azurelanding.jobs import Job, JobOutcome, JobState, Step, TaskId, TaskState
 from azurelanding.pool_jobs import PoolJobs
 from azurelanding.store import StoredRecordError
@@ -189,7 +189,7 @@
         """
         if offset <= self.offsets.get(key, -1) or self._is_premature(record):
             return
-        if self._withhold(key, record, offset):
+        if isinstance(record, JobSubmitted) and self._withhold(key, record, offset):
             return
         self.offsets[key] = offset
         if record is None:
@@ -208,7 +208,8 @@
             case JobEnded():
                 self._end(record)
             case JobPinned():
-                self.pins.add(record, offset, record.job in self.jobs)
+                known = self.jobs.get(record.job)
+                self.pins.add(record, offset, known and known.job)
             case _:
                 self._apply_to_pool(record)
 
@@ -225,18 +226,15 @@
                 self.moved[record.queue] = record.version
 
     def _withhold(self, key, record, offset):
-        """Keep a submission apart if its job is pinned; return whether it is."""
-        match record:
-            case WorkSubmitted():
-                job_id = record.job
-            case JobSubmitted():
-                job_id = record.job.id
-            case _:
-                return False
-        if job_id in self.jobs or not self.pins.precede(job_id, offset):
+        """Keep a submission apart if its job is pinned; return whether it is.
+
+        Its work waits in ``works`` until the submission counts or is dropped.
+        """
+        job = record.job
+        if job.id in self.jobs or not self.pins.precede(job, offset):
             return False
         self.offsets[key] = offset
-        self.pins.withhold(job_id, key, record)
+        self.pins.withhold(record, offset)
         return True
 
     def _is_premature(self, record):
@@ -257,7 +255,7 @@
             is_own = early is not None and early.account == job.account
             cancelled_at = early.at if is_own else None
             self.jobs[job.id] = JobState(job, cancelled_at=cancelled_at)
-            self.pins.note_known(job.id)
+            self.pins.note_known(job)
             self._activate(job.id)
 
     def _activate(self, job_id):
@@ -354,10 +352,9 @@
             self._remove(name)
             self.jobs.pop(name, None)
             self.ended_tasks.pop(name, None)
-            self.pins.drop_withheld(name, key)
+            self.pins.withheld.pop(name, None)
         elif kind == "work":
             self.works.pop(name, None)
-            self.pins.drop_withheld(name, key)
         elif kind == "cancel":
             self.early_cancellations.pop(name, None)
         elif kind == "task":
@@ -368,11 +365,11 @@
 
     def _unpin(self, name):
         """Remove a pin, so that what it withheld counts as if it was stored now."""
-        if job_of_pin(name) in self.jobs:
-            self.pins.remove(name)
-            return
-        for key, record in self.pins.remove(name).items():
-            self.apply(key, record, self.offsets.pop(key))
+        withheld = self.pins.remove(name)
+        if withheld is not None:
+            record, offset = withheld
+            self.offsets.pop(record_key(record), None)
+            self.apply(record_key(record), record, offset)
 
     def _drop_ended_task(self, name):
         job_id = name.partition(".")[0]
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -151,11 +151,10 @@
         """Return the ``JobState`` of a job as read so far, or ``None``."""
         return self.deferred.find(job_id)
 
-    def is_pinned(self, job_id, pool):
+    def is_pinned(self, job, pool):
         """Return whether a controller of ``pool`` has pinned a job, as read so far."""
-        self.find(job_id)
-        pins = self.deferred.fold.ledger.pins.pins.get(job_id, {})
-        return any(pin.record.pool == pool for pin in pins.values())
+        self.find(job.id)
+        return self.deferred.fold.ledger.pins.is_pinned_by(job, pool)
 
     def is_cancelled_early(self, job_id):
         """Return whether a job was cancelled that is not known, as read so far."""
--- a/azurelanding/tests/test_late_submissions.py
+++ b/azurelanding/tests/test_late_submissions.py
@@ -188,6 +188,60 @@
 
         self.run_in_both_directions(scenario)
 
+    def test_submission_stored_late_at_a_controller_that_started_after_the_move(self):
+        # It has seen one configuration only.
+        async def run_daemon(world, incarnation, scenario):
+            async with anyio.create_task_group() as task_group:
+                await world.daemon("d0", incarnation).start(task_group)
+                with anyio.fail_after(15.0):
+                    await scenario(world.daemons[-1])
+                task_group.cancel_scope.cancel()
+
+        async def before(daemon):
+            await self.until_controlled()
+            await self.move_queue()
+            await submit(self.world, self.again)
+            await until_phase(self.world, self.again, JobPhase.COMPLETED)
+
+        async def after(daemon):
+            await until(lambda: daemon.operator.configuration is not None)
+            self.store_late()
+            await until(lambda: f"job/{self.job.id}" not in self.partition().newest)
+            await anyio.sleep(0.5)
+
+        async def main(world):
+            await run_daemon(world, "1", before)
+            await run_daemon(world, "2", after)
+
+        for left, entered in (POOLS, POOLS[::-1]):
+            anyio.run(main, self.make_world(left, entered, POOLS))
+            self.assertEqual([1, 1], self.starts())
+
+    def test_another_accounts_job_with_the_same_id_runs_and_is_not_cancelled(self):
+        # Both were accepted; each account sees its own.
+        async def scenario(world):
+            for model in world.fleet.models.values():
+                model.knobs.run_time = 30.0
+            await self.until_controlled()
+            await self.move_queue()
+            await submit(world, attrs.evolve(self.again, account="a"))
+            await until(lambda: self.starts() == [1, 1])
+            self.job = attrs.evolve(self.job, account="b")
+            self.store_late()
+            await until(lambda: self.starts() == [2, 2])
+            (daemon,) = world.daemons
+            await daemon.service.cancel(self.queue, self.job.id, 5.0, "a")
+            for account, expected in (("a", True), ("b", False)):
+                (state,) = (
+                    state
+                    for state in self.read_copies(daemon)
+                    if state.job.account == account
+                )
+                self.assertEqual(expected, state.cancelled_at is not None, account)
+
+        world = self.make_world(*POOLS, workers=POOLS)
+        anyio.run(world.run, scenario, 1)
+
     def test_pin_of_a_known_job_is_dropped(self):
         # It would withhold the job from readers that load the stream.
         async def scenario(world):
