Heads of many short headers count as what they take in the process

Callers saw a daemon run out of memory. A head was counted by the text of its headers, and not at all once it was complete: 16,000 headers of four bytes passed a limit of 16,384 bytes and took 2 MB, and a request that was sent ahead counted as 4 KB.

A head now counts its bytes on the wire, and each header 400 bytes more against what all connections may hold, until its request is answered. On the platform only the headers that a request is decided by are kept. What is held is checked after each head, so that one piece can't bring many; a connection that is cut gives up its requests at once. The parts of a body are joined as they come, not kept one by one.

--- a/azurelanding/bounded_http.py
+++ b/azurelanding/bounded_http.py
@@ -15,8 +15,14 @@
 
 logger = structlog.get_logger()
 
-PIPELINED_REQUEST_BYTES = 4096
-"""About what a request takes that waits for the answers to earlier ones."""
+REQUEST_BYTES = 4096
+"""About what a request takes until it is answered, without its headers and its body."""
+HEADER_BYTES = 400
+"""About what a header takes beyond its name and value, once it is decoded too."""
+HEADER_FRAMING_BYTES = 3
+"""Fewest bytes that frame a header: the colon and the line break."""
+BODY_COPIES = 2
+"""Copies of a body while its parts are joined."""
 DEFAULT_MAX_BYTES = 64 << 20
 CHUNK_OVERHEAD_FACTOR = 8
 """Longest framing for each byte of a body that is sent in chunks of a byte."""
@@ -97,9 +103,15 @@
 
 
 class BoundedProtocol(HttpToolsProtocol):
-    """One connection of a server that keeps to ``find_limits()`` and to ``load``."""
+    """One connection of a server that keeps to ``find_limits()`` and to ``load``.
+
+    Only headers in ``kept_headers`` are kept, and the last of each; all if it is
+    ``None``. ``costs`` has what each request takes that is not answered yet, in bytes,
+    and ``kept_positions`` where each kept header of the current head is.
+    """
 
     load = None
+    kept_headers = None
 
     @staticmethod
     def find_limits():
@@ -109,9 +121,11 @@
     def connection_made(self, transport):
         """Begin a connection, which may be idle before its first request, too."""
         super().connection_made(transport)
-        self.head_size = self.unparsed_size = 0
+        self.head_size = self.unparsed_size = self.kept_size = 0
         self.body_size = self.framing_size = 0
-        self.in_head = self.in_message = False
+        self.costs = collections.deque()
+        self.kept_positions = {}
+        self.in_head = self.in_message = self.is_lost = False
         self.begun = 0
         self.refusal = None
         self.timer = self.write_timer = self.timed = None
@@ -124,8 +138,7 @@
         """Stop the timers and drop the requests that have not begun."""
         self._stop_timer()
         self._stop_write_timer()
-        self.load.forget(self)
-        self.pipeline.clear()
+        self._release()
         super().connection_lost(exc)
 
     @property
@@ -195,9 +208,17 @@
             self._refuse(http.HTTPStatus.BAD_REQUEST, "framing-too-large")
 
     def _hold(self):
-        size = self.head_size + self.unparsed_size + self.body_size
-        size += PIPELINED_REQUEST_BYTES * len(self.pipeline)
-        self.load.hold(self, size)
+        self.load.hold(self, self.kept_size + self.unparsed_size + sum(self.costs))
+
+    def _release(self):
+        """Drop what the connection holds; requests that have not begun never will."""
+        self.is_lost = True
+        self.load.forget(self)
+        self.pipeline.clear()
+        self.costs.clear()
+        if self.is_active:
+            self.cycle.disconnected = True
+            self.cycle.body = bytearray()
 
     def on_message_begin(self):
         """Begin a request head, under the limits in force now."""
@@ -207,8 +228,9 @@
         self.messages += 1
         if self.timed is None:
             self._stop_timer()
-        self.head_size = self.unparsed_size = 0
+        self.head_size = self.unparsed_size = self.kept_size = 0
         self.body_size = self.framing_size = 0
+        self.kept_positions = {}
         self.in_head = self.in_message = True
         self.begun += 1
 
@@ -224,17 +246,36 @@
     def on_url(self, url):
         """Take a part of the target of a request."""
         self._count_head(len(url))
+        self.kept_size += len(url)
         super().on_url(url)
 
     def on_header(self, name, value):
         """Take a header; a trailer counts against the limit and is left out."""
-        self._count_head(len(name) + len(value))
-        if self.in_head:
+        self._count_head(len(name) + len(value) + HEADER_FRAMING_BYTES)
+        if not self.in_head:
+            return
+        if self.kept_headers is None:
             super().on_header(name, value)
+        elif name.lower() in self.kept_headers:
+            super().on_header(name, value)
+            self._replace_earlier(name.lower())
+        else:
+            return
+        self.kept_size += len(name) + len(value) + HEADER_BYTES
+
+    def _replace_earlier(self, name):
+        position = self.kept_positions.setdefault(name, len(self.headers) - 1)
+        if position < len(self.headers) - 1:
+            self.headers[position] = self.headers.pop()
 
     def on_headers_complete(self):
         """Begin the request, unless too many wait for earlier answers."""
-        self.in_head, self.head_size, self.unparsed_size = False, 0, 0
+        self.in_head = False
+        self.costs.append(REQUEST_BYTES + self.kept_size)
+        self.head_size = self.unparsed_size = self.kept_size = 0
+        self._hold()
+        if self.is_lost:
+            raise OverLimitError
         super().on_headers_complete()
         if len(self.pipeline) > self.limits.max_pipelined:
             self.refusal = (
@@ -246,6 +287,8 @@
     def on_body(self, body):
         """Take a part of a body."""
         self.body_size += len(body)
+        if not self.cycle.response_complete:
+            self.costs[-1] += BODY_COPIES * len(body)
         super().on_body(body)
 
     def on_message_complete(self):
@@ -255,8 +298,8 @@
 
     def on_response_complete(self):
         """Release what the answered request held."""
-        if not self.in_message:
-            self.head_size = self.body_size = 0
+        if self.costs:
+            self.costs.popleft()
         self.load.touch(self)
         super().on_response_complete()
         self._hold()
@@ -288,9 +331,9 @@
 
     def cut(self, reason):
         """Close the connection at once, without an answer."""
-        if not self.transport.is_closing():
+        if not self.is_lost:
             self._log(reason)
-            self.load.forget(self)
+            self._release()
             self.transport.abort()
 
     def _log(self, reason):
@@ -336,7 +379,15 @@
             self.write_timer = None
 
 
-def make_protocol(find_limits, load, base=BoundedProtocol):
-    """Return a protocol class for ``HttpServer`` that keeps to the limits."""
-    members = {"find_limits": staticmethod(find_limits), "load": load}
+def make_protocol(find_limits, load, base=BoundedProtocol, kept_headers=None):
+    """Return a protocol class for ``HttpServer`` that keeps to the limits.
+
+    ``kept_headers`` are the names, in lower case, of those that the application reads;
+    ``None`` for all.
+    """
+    members = {
+        "find_limits": staticmethod(find_limits),
+        "load": load,
+        "kept_headers": kept_headers,
+    }
     return type("LimitedProtocol", (base,), members)
--- a/azurelanding/http_server.py
+++ b/azurelanding/http_server.py
@@ -100,19 +100,18 @@
 
     Raises ``ConnectionResetError`` when the sender disconnects before the end.
     """
-    chunks, size = [], 0
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise ConnectionResetError(
                 "the sender disconnected before the end of the body"
             )
-        chunks.append(message.get("body", b""))
-        size += len(chunks[-1])
-        if size > limit:
+        body += message.get("body", b"")
+        if len(body) > limit:
             return None
         if not message.get("more_body"):
-            return b"".join(chunks)
+            return bytes(body)
 
 
 async def send_reply(send, status, headers, body):
--- a/azurelanding/platform/callers.py
+++ b/azurelanding/platform/callers.py
@@ -34,6 +34,8 @@
 JOB_ID_DIGITS = frozenset("0123456789abcdef")
 MS_PER_SECOND = 1000.0
 KEY_SCHEME = "token"
+READ_HEADERS = frozenset((b"host", b"authorization", b"x-request-deadline"))
+"""Names of the headers that a request is decided by; others are not kept."""
 JSON_HEADERS = (("Content-Type", "application/json"),)
 STATUS_BY_ACCEPTANCE = {
     Acceptance.ACCEPTED: http.HTTPStatus.OK,
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -112,14 +112,14 @@
     readiness_app = callers.make_readiness_app(daemon.is_ready)
     metrics_app = callers.make_metrics_app(daemon.metrics, served_metrics.CONTENT_TYPE)
     servers = []
-    for address, app, share in (
-        (site.callers_address, callers_app, CALLERS_SHARE),
-        (site.readiness_address, readiness_app, OTHERS_SHARE),
-        (f"{site.metrics_ip}:{METRICS_PORT}", metrics_app, OTHERS_SHARE),
+    for address, app, share, headers in (
+        (site.callers_address, callers_app, CALLERS_SHARE, callers.READ_HEADERS),
+        (site.readiness_address, readiness_app, OTHERS_SHARE, frozenset()),
+        (f"{site.metrics_ip}:{METRICS_PORT}", metrics_app, OTHERS_SHARE, frozenset()),
     ):
         max_connections = max(1, int(site.descriptors * share))
         load = ServerLoad(max_connections, site.memory * share, daemon.metrics)
-        protocol = make_protocol(find_limits, load)
+        protocol = make_protocol(find_limits, load, kept_headers=headers)
         backlog = max(1, min(BACKLOG, max_connections // BACKLOGS_PER_LIMIT))
         servers.append(
             HttpServer.from_config(
--- a/azurelanding/tests/test_bounded_http.py
+++ b/azurelanding/tests/test_bounded_http.py
@@ -29,17 +29,26 @@
     async def app(self, scope, receive, send):
         """Answer with the path, after a while."""
         self.began.append(scope["path"])
+        self.headers = scope["headers"]
         self.bodies.append(await read_body(receive, 10_000))
         await anyio.sleep(self.seconds)
         await send_reply(send, 200, (), scope["path"].encode())
 
-    def talk(self, *pieces, gap=0.0, max_connections=50, max_bytes=1e9, then=None):
+    def talk(
+        self,
+        *pieces,
+        gap=0.0,
+        max_connections=50,
+        max_bytes=1e9,
+        then=None,
+        kept_headers=None,
+    ):
         """Return all that a client receives that sends ``pieces`` with gaps."""
         received, answers = [], []
 
         async def main():
             load = ServerLoad(max_connections, max_bytes, self.metrics)
-            protocol = make_protocol(lambda: LIMITS, load)
+            protocol = make_protocol(lambda: LIMITS, load, kept_headers=kept_headers)
             server = HttpServer.from_config("127.0.0.1:0", self.app, http=protocol)
             host, port = server.address.split(":")
             async with anyio.create_task_group() as task_group:
@@ -173,3 +182,33 @@
         self.talk(*(POST + b"Content-Length: 3\r\n\r\nabc" for _ in range(3)))
         self.assertEqual(0, self.load.held)
         self.assertEqual([b"abc"] * 3, self.bodies)
+
+    def test_head_is_limited_by_its_bytes_on_the_wire(self):
+        head = GET[:-2] % 1
+        allowed = (LIMITS.max_header - len(head)) // 4
+        self.assertIn(b"200 OK", self.talk(head + b"a:\r\n" * allowed + b"\r\n"))
+        over = LIMITS.max_header // 4 + 1
+        self.assertIn(b"431", self.talk(head + b"a:\r\n" * (2 * over) + b"\r\n"))
+
+    def test_short_headers_count_as_what_they_take(self):
+        # A body that does not come keeps the request waiting.
+        head = POST + b"Content-Length: 9\r\n" + b"a:\r\n" * 400 + b"\r\n"
+        answer = self.talk(head, max_bytes=100_000)
+        self.assertRegex(answer, b"<(end|reset)>")
+        self.assertNotIn(b"<", self.talk(head, max_bytes=100_000, kept_headers={b"x"}))
+
+    def test_only_headers_that_are_read_are_kept_and_the_last_of_each(self):
+        head = GET[:-2] % 1 + b"A: 1\r\nX: 2\r\na: 3\r\nB: 4\r\nA:5 \r\n\r\n"
+        kept = frozenset((b"a", b"b"))
+        self.assertIn(b"200 OK", self.talk(head, kept_headers=kept))
+        self.assertEqual([(b"a", b"5"), (b"b", b"4")], self.headers)
+        self.talk(head)
+        self.assertEqual(6, len(self.headers))
+
+    def test_requests_ahead_that_take_too_much_end_with_their_connection(self):
+        requests = b"".join(GET % number for number in range(20))
+        self.seconds = 0.2
+        answer = self.talk(requests, max_bytes=50_000)
+        self.assertRegex(answer, b"<(end|reset)>")
+        self.assertLessEqual(len(self.began), 1)
+        self.assertEqual(0, self.load.held)
