Connections that are being closed wait for their clients for a limited time

A connection with "Connection: close" whose client doesn't read the last answer stayed open for good: the server closes once the answer is written, cut() passed over what is being closed, and so did the choice of a connection to close for a new one. Each kept a descriptor and up to 64 KB.

--- a/azurelanding/bounded_http.py
+++ b/azurelanding/bounded_http.py
@@ -303,6 +303,27 @@
         self.load.touch(self)
         super().on_response_complete()
         self._hold()
+        self._time_last_answer()
+
+    def eof_received(self):
+        """Let the connection be closed, as its client sends no more."""
+        super().eof_received()
+        self._start_write_timer()
+
+    def shutdown(self):
+        """Close the connection once its last answer is written, as the server stops."""
+        super().shutdown()
+        self._time_last_answer()
+
+    def timeout_keep_alive_handler(self):
+        """Close a connection that was idle."""
+        super().timeout_keep_alive_handler()
+        self._time_last_answer()
+
+    def _time_last_answer(self):
+        """Limit how long a connection that is being closed waits for its client."""
+        if self.transport.is_closing() and not self.is_lost:
+            self._start_write_timer()
 
     # Refusals
 
@@ -328,6 +349,7 @@
         self._stop_timer()
         self.transport.write(self.encode_refusal(status, reason))
         self.transport.close()
+        self._time_last_answer()
 
     def cut(self, reason):
         """Close the connection at once, without an answer."""
@@ -363,16 +385,20 @@
     def pause_writing(self):
         """Start the timer of an answer that its client doesn't read."""
         super().pause_writing()
-        self._stop_write_timer()
-        self.write_timer = self.loop.call_later(
-            self.limits.idle_timeout, self.cut, "answer-unread"
-        )
+        self._start_write_timer()
 
     def resume_writing(self):
-        """Stop the timer, as the client reads on."""
-        self._stop_write_timer()
+        """Stop the timer, as the client reads on, unless it has had its last answer."""
+        if not self.transport.is_closing():
+            self._stop_write_timer()
         super().resume_writing()
 
+    def _start_write_timer(self):
+        if self.write_timer is None:
+            self.write_timer = self.loop.call_later(
+                self.limits.idle_timeout, self.cut, "answer-unread"
+            )
+
     def _stop_write_timer(self):
         if self.write_timer is not None:
             self.write_timer.cancel()
--- a/azurelanding/tests/test_bounded_http.py
+++ b/azurelanding/tests/test_bounded_http.py
@@ -1,6 +1,7 @@
 """Test that ordinary clients are served within the limits, and what others are told."""
 
 import contextlib
+import socket
 
 import anyio
 import testtools
@@ -8,6 +9,7 @@
 from azurelanding.bounded_http import HttpLimits, ServerLoad, make_protocol
 from azurelanding.http_server import HttpServer, read_body, send_reply
 from azurelanding.served_metrics import ServedMetrics
+from azurelanding.tests.crowds import connect
 
 LIMITS = HttpLimits(
     max_header=2_000, header_timeout=0.4, request_timeout=1.5, idle_timeout=0.8
@@ -212,3 +214,42 @@
         self.assertRegex(answer, b"<(end|reset)>")
         self.assertLessEqual(len(self.began), 1)
         self.assertEqual(0, self.load.held)
+
+
+class UnreadTest(testtools.TestCase):
+    """A client that reads no more, behind small buffers."""
+
+    def setUp(self):
+        super().setUp()
+        self.began = 0
+
+    async def app(self, scope, receive, send):
+        """Answer with more than the buffers take."""
+        self.began += 1
+        await send_reply(send, 200, (), b"a" * 300_000)
+
+    def leave_unread(self, request, seconds):
+        """Send ``request`` and read nothing; return what is left after a while."""
+
+        async def main():
+            load = ServerLoad(50, 1e9, ServedMetrics())
+            protocol = make_protocol(lambda: LIMITS, load)
+            server = HttpServer.from_config("127.0.0.1:0", self.app, http=protocol)
+            server.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+            connections = server.server.server_state.connections
+            async with anyio.create_task_group() as task_group:
+                server.start(task_group)
+                stream = await connect(server.address, small_window=True)
+                await stream.send(request)
+                await anyio.sleep(seconds)
+                left = len(connections), load.held
+                await anyio.aclose_forcefully(stream)
+                task_group.cancel_scope.cancel()
+            return left
+
+        return anyio.run(main)
+
+    def test_last_answer_that_is_not_read_ends_its_connection_all_the_same(self):
+        closing = GET[:-2] % 1 + b"Connection: close\r\n\r\n"
+        seconds = 3 * LIMITS.idle_timeout
+        self.assertEqual((0, 0), self.leave_unread(closing, seconds))
