Requests wait until earlier answers are read, and unread answers count

The next request of a connection was begun as soon as the answer before it was handed to the transport. Its answer was made and then waited, so a client that reads nothing held two answers more, and none of it counted as held by its connection.

No request begins, and none is read, while the answers before it wait for the client. What the transport keeps counts with the rest. Two tests of test_bounded_http fail without it: 20 requests began in place of one, and nothing counted.

--- a/azurelanding/bounded_http.py
+++ b/azurelanding/bounded_http.py
@@ -125,7 +125,7 @@
         self.body_size = self.framing_size = 0
         self.costs = collections.deque()
         self.kept_positions = {}
-        self.in_head = self.in_message = self.is_lost = False
+        self.in_head = self.in_message = self.is_lost = self.is_waiting = False
         self.begun = 0
         self.refusal = None
         self.timer = self.write_timer = self.timed = None
@@ -208,7 +208,9 @@
             self._refuse(http.HTTPStatus.BAD_REQUEST, "framing-too-large")
 
     def _hold(self):
-        self.load.hold(self, self.kept_size + self.unparsed_size + sum(self.costs))
+        unread = 0 if self.is_lost else self.transport.get_write_buffer_size()
+        requests = self.kept_size + self.unparsed_size + sum(self.costs)
+        self.load.hold(self, requests + unread)
 
     def _release(self):
         """Drop what the connection holds; requests that have not begun never will."""
@@ -297,11 +299,16 @@
         super().on_message_complete()
 
     def on_response_complete(self):
-        """Release what the answered request held."""
+        """Release what the answered request held, and go on with the next one.
+
+        None begins while its client leaves earlier answers unread.
+        """
         if self.costs:
             self.costs.popleft()
         self.load.touch(self)
-        super().on_response_complete()
+        self.is_waiting = self.flow.write_paused and not self.transport.is_closing()
+        if not self.is_waiting:
+            super().on_response_complete()
         self._hold()
         self._time_last_answer()
 
@@ -383,8 +390,9 @@
             self.cut("idle")
 
     def pause_writing(self):
-        """Start the timer of an answer that its client doesn't read."""
+        """Read no more requests, and start the timer of an answer that isn't read."""
         super().pause_writing()
+        self.flow.pause_reading()
         self._start_write_timer()
 
     def resume_writing(self):
@@ -392,6 +400,10 @@
         if not self.transport.is_closing():
             self._stop_write_timer()
         super().resume_writing()
+        if self.is_waiting:
+            self.is_waiting = False
+            super().on_response_complete()
+        self._hold()
 
     def _start_write_timer(self):
         if self.write_timer is None:
--- a/azurelanding/tests/test_bounded_http.py
+++ b/azurelanding/tests/test_bounded_http.py
@@ -253,3 +253,11 @@
         closing = GET[:-2] % 1 + b"Connection: close\r\n\r\n"
         seconds = 3 * LIMITS.idle_timeout
         self.assertEqual((0, 0), self.leave_unread(closing, seconds))
+
+    def test_no_request_begins_while_earlier_answers_are_unread(self):
+        self.leave_unread(GET % 1 * 20, LIMITS.idle_timeout / 2)
+        self.assertEqual(1, self.began)
+
+    def test_answers_that_are_not_read_count_as_held(self):
+        _, held = self.leave_unread(GET % 1, LIMITS.idle_timeout / 2)
+        self.assertGreater(held, 100_000)
