Servers bound what waits to be read and accepted

The platform counts bytes that were received and not read as the process's memory. The system holds 128 KB for a connection at first, and more for one that is read fast (tcp_rmem of this machine allows 32 MB), so at 4,100 descriptors more than a host has. The sockets of the platform's servers now have receive buffers that share a third of what their connections may hold. No crowd of this size shows it; a test of test_http_server does, for a client that nobody accepts.

The plain product accepted 2,048 connections at once, before it could close any, and gave both callers and operators half of the descriptors. Both have fewer, and accept a quarter of them at once; as many as before may wait.

--- a/azurelanding/bounded_http.py
+++ b/azurelanding/bounded_http.py
@@ -13,6 +13,8 @@
 import structlog
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from azurelanding import http_server
+
 logger = structlog.get_logger()
 
 REQUEST_BYTES = 4096
@@ -21,6 +23,9 @@
 """About what a header takes beyond its name and value, once it is decoded too."""
 HEADER_FRAMING_BYTES = 3
 """Fewest bytes that frame a header: the colon and the line break."""
+BATCHES = 4
+"""In how many batches a server accepts its connections; so many may be open beyond its
+limit until the first of them are closed."""
 BODY_COPIES = 2
 """Copies of a body while its parts are joined."""
 DEFAULT_MAX_BYTES = 64 << 20
@@ -66,10 +71,18 @@
         self.held = 0
 
     @classmethod
-    def from_process(cls, metrics):
-        """Return a load for half of the descriptors that this process may open."""
+    def from_process(cls, metrics, share):
+        """Return a load for a share of the descriptors that this process may open."""
         descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        return cls(max(1, descriptors // 2), DEFAULT_MAX_BYTES, metrics)
+        return cls(max(1, int(descriptors * share)), DEFAULT_MAX_BYTES, metrics)
+
+    @property
+    def accepted_at_once(self):
+        """Return how many connections a server may accept at once.
+
+        They are all open before any of them can be closed.
+        """
+        return max(1, min(http_server.BACKLOG, self.max_connections // BATCHES))
 
     def admit(self, connection):
         """Add a connection, and close another one if there are too many."""
--- a/azurelanding/callers/protocol.py
+++ b/azurelanding/callers/protocol.py
@@ -9,6 +9,9 @@
 from azurelanding.http_server import KEEP_ALIVE_SECONDS
 from azurelanding.requests import Outcome
 
+DESCRIPTORS_SHARE = 0.4
+"""Share of the descriptors that callers' connections may have."""
+
 
 def encode_error(status, reason, detail):
     """Encode a complete reply that refuses a request and closes the connection."""
@@ -90,5 +93,5 @@
         request_timeout=None,
         idle_timeout=KEEP_ALIVE_SECONDS,
     )
-    load = ServerLoad.from_process(metrics)
+    load = ServerLoad.from_process(metrics, DESCRIPTORS_SHARE)
     return bounded_http.make_protocol(lambda: limits, load, CallerProtocol)
--- a/azurelanding/daemon.py
+++ b/azurelanding/daemon.py
@@ -22,6 +22,8 @@
 logger = structlog.get_logger()
 
 START_CHECK_INTERVAL_SECONDS = 0.1
+OPERATORS_SHARE = 0.125
+"""Share of the descriptors that operators' connections may have."""
 
 
 class Daemon:
@@ -45,11 +47,12 @@
             self.follower,
         )
         self.peer_server = PeerServer.from_config(settings.entries, self.members)
-        load = ServerLoad.from_process(self.metrics)
+        load = ServerLoad.from_process(self.metrics, OPERATORS_SHARE)
         self.operators_server = HttpServer.from_config(
             settings.operators.address,
             api.make_app(self),
             http=make_protocol(HttpLimits, load),
+            accepted_at_once=load.accepted_at_once,
         )
         self.snapshots = SnapshotKeeper(self)
         self.stop_asked = anyio.Event()
--- a/azurelanding/entry.py
+++ b/azurelanding/entry.py
@@ -62,10 +62,12 @@
             self.run_request,
             self.metrics,
         )
+        protocol = make_protocol(settings.callers, self.metrics)
         self.callers_server = HttpServer.from_config(
             settings.callers.address,
             app,
-            http=make_protocol(settings.callers, self.metrics),
+            accepted_at_once=protocol.load.accepted_at_once,
+            http=protocol,
         )
 
     async def run_request(self, request, rule):
--- a/azurelanding/http_server.py
+++ b/azurelanding/http_server.py
@@ -18,10 +18,17 @@
 
     capture_signals = staticmethod(contextlib.nullcontext)
 
-    def __init__(self, config):
+    def __init__(self, config, backlog):
         super().__init__(config)
+        self.backlog = backlog
         self.stop_requested = anyio.Event()
 
+    async def startup(self, sockets=None):
+        """Listen with the whole backlog, whatever is accepted at once of it."""
+        await super().startup(sockets)
+        for listener in sockets:
+            listener.listen(self.backlog)
+
     async def main_loop(self):
         """Refresh the ``Date`` header of the replies until the server must stop."""
         while not await self.on_tick(0):
@@ -38,16 +45,31 @@
         self.finished = anyio.Event()
 
     @classmethod
-    def from_config(cls, address, app, **options):
+    def from_config(
+        cls,
+        address,
+        app,
+        backlog=BACKLOG,
+        accepted_at_once=None,
+        receive_buffer=None,
+        **options,
+    ):
         """Return a server for ``app``, bound to ``address`` but not yet started.
 
-        ``options`` are those of ``uvicorn.Config``, and replace the ones set here.
-        Raises ``OSError`` when the address is in use.
+        Up to ``backlog`` connections wait to be accepted, and ``accepted_at_once`` of
+        them are, all if it is ``None``. ``receive_buffer`` is how many bytes of a
+        connection the system may hold until they are read, ``None`` for the system's
+        own choice. ``options`` are those of ``uvicorn.Config``, and replace the ones
+        set here. Raises ``OSError`` when the address is in use.
         """
         host, port = split_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listener = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        listener = socket.create_server((host, port), family=family, backlog=backlog)
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if receive_buffer is not None:
+            # Connections inherit it; the system doubles it for its own overhead.
+            half = max(1, receive_buffer // 2)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, half)
         defaults = {
             "log_config": None,
             "access_log": False,
@@ -58,9 +80,10 @@
             "server_header": False,
             "proxy_headers": False,
             "timeout_keep_alive": KEEP_ALIVE_SECONDS,
+            "backlog": accepted_at_once or backlog,
         }
         config = uvicorn.Config(app, **{**defaults, **options})
-        return cls(_Server(config), listener)
+        return cls(_Server(config, backlog), listener)
 
     @property
     def address(self):
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -12,7 +12,7 @@
 from azurelanding import log, process_signals, served_metrics
 from azurelanding.bounded_http import HttpLimits, ServerLoad, make_protocol
 from azurelanding.configuration import RequestLimits
-from azurelanding.http_server import BACKLOG, HttpServer
+from azurelanding.http_server import HttpServer
 from azurelanding.platform import callers, operator, settings
 from azurelanding.platform.advice import AdviceClient
 from azurelanding.platform.hosts import HostsClient
@@ -39,9 +39,9 @@
 what they have sent may take."""
 OTHERS_SHARE = 0.05
 """The same for the readiness check, and for the metrics."""
-BACKLOGS_PER_LIMIT = 4
-"""Up to a quarter of a server's connections are accepted at once, before it can close
-any of them."""
+RECEIVED_SHARE = 1 / 3
+"""What bytes may take that a server has not read yet, by what it may hold itself."""
+MAX_RECEIVE_BUFFER_BYTES = 65_536
 
 
 @attrs.frozen
@@ -99,6 +99,16 @@
     )
 
 
+def _choose_receive_buffer(load):
+    """Return the bytes that the system may hold for each connection of a server.
+
+    The connections that wait to be accepted count too.
+    """
+    connections = load.max_connections + load.accepted_at_once
+    fair = int(load.max_bytes * RECEIVED_SHARE / connections)
+    return min(MAX_RECEIVE_BUFFER_BYTES, fair)
+
+
 def _make_servers(site, daemon):
     context = callers.HandlerContext(
         daemon.service,
@@ -120,13 +130,13 @@
         max_connections = max(1, int(site.descriptors * share))
         load = ServerLoad(max_connections, site.memory * share, daemon.metrics)
         protocol = make_protocol(find_limits, load, kept_headers=headers)
-        backlog = max(1, min(BACKLOG, max_connections // BACKLOGS_PER_LIMIT))
         servers.append(
             HttpServer.from_config(
                 address,
                 app,
+                receive_buffer=_choose_receive_buffer(load),
                 http=protocol,
-                backlog=backlog,
+                backlog=load.accepted_at_once,
             )
         )
     return servers
--- a/azurelanding/tests/test_http_server.py
+++ b/azurelanding/tests/test_http_server.py
@@ -7,6 +7,7 @@
 import testtools
 
 from azurelanding.http_server import HttpServer
+from azurelanding.tests.crowds import read_unread_bytes
 
 
 class HttpServerTest(testtools.TestCase):
@@ -34,3 +35,40 @@
 
     def test_cancelled_server_closes_its_sockets(self):
         anyio.run(self.cancel_with_a_caller)
+
+    def fill(self, **options):
+        """Return the bytes that are held for a client that nobody accepts."""
+        server = HttpServer.from_config("127.0.0.1:0", None, **options)
+        self.addCleanup(server.listener.close)
+        with socket.create_connection(server.listener.getsockname()) as client:
+            client.settimeout(0.3)
+            with contextlib.suppress(TimeoutError):
+                for _ in range(200):
+                    client.send(bytes(65_536))
+            return read_unread_bytes([server.address])
+
+    def test_receive_buffer_bounds_what_is_not_read(self):
+        self.assertLess(self.fill(receive_buffer=8_192), 2 * 8_192)
+        # Without it the system holds more by its own choice.
+        self.assertGreater(self.fill(), 2 * 8_192)
+
+    def test_whole_backlog_waits_whatever_is_accepted_at_once(self):
+        server = HttpServer.from_config("127.0.0.1:0", None, accepted_at_once=2)
+        backlogs = []
+
+        async def main():
+            async with anyio.create_task_group() as task_group:
+                server.start(task_group)
+                while not server.server.started:  # noqa: ASYNC110
+                    await anyio.sleep(0.01)
+                callers = [
+                    socket.create_connection(server.listener.getsockname(), 1.0)
+                    for _ in range(40)
+                ]
+                backlogs.append(len(callers))
+                for caller in callers:
+                    caller.close()
+                task_group.cancel_scope.cancel()
+
+        anyio.run(main)
+        self.assertEqual([40], backlogs)
