Jobs that a daemon has no room for are refused at once

A body of 12 KB with 1,000 steps takes 0.3 MB in every daemon until the job has ended and its outcome may be forgotten; one of 253 KB takes 1.1 MB. Nothing limited how many were accepted: a crowd of 32 clients kept a daemon of 90 MB so busy that an ordinary job was not answered in 90 s, and left 91.5 MB with the other kind.

The size of a job is computed when it is accepted and stored with it, so that all daemons count the same. All jobs together may take a quarter of the host's memory, those of one queue and account no more than is left for all others. A job beyond that is refused before it is stored, as its 503 says. Steps before a step are named once.

--- a/azurelanding/deferred_ledger.py
+++ b/azurelanding/deferred_ledger.py
@@ -17,6 +17,7 @@
 import anyio
 import anyio.lowlevel
 
+from azurelanding.held_work import HeldWork
 from azurelanding.job_records import decode_key
 from azurelanding.record_faults import KEPT
 
@@ -42,6 +43,7 @@
     newest records by key; records that are on no job are under an empty string.
     ``users`` counts those who hold on to the folded ledger: while there are any,
     records are folded as they arrive. ``faults`` are the daemon's ``RecordFaults``.
+    ``work`` counts what the jobs of the stream take, folded or not.
     """
 
     def __init__(self, topic, fold, faults):
@@ -50,9 +52,11 @@
         self.faults = faults
         self.pending = collections.defaultdict(dict)
         self.users = 0
+        self.work = HeldWork()
 
     def clear(self):
         """Drop the state before the partition is loaded again."""
+        self.work.clear()
         self.pending.clear()
         self.fold.clear()
 
@@ -65,6 +69,7 @@
 
         An invalid one that is kept shows when it is folded.
         """
+        self.work.note(record)
         if self.users:
             return self.fold.apply_stored(record)
         job = job_of(record.key)
--- a/azurelanding/job_service.py
+++ b/azurelanding/job_service.py
@@ -5,11 +5,14 @@
 """
 
 import enum
+import itertools
+import math
 import time
 
 import attrs
 import structlog
 
+from azurelanding import held_work
 from azurelanding.account_limits import never_fits
 from azurelanding.appender import NotStoredError, OutcomeUnknownError
 from azurelanding.job_records import encode_record
@@ -50,16 +53,34 @@
     that this daemon follows, and ``streams_of_all_pools()`` follows the others too.
     ``operator`` is the ``OperatorFold`` of the daemon. ``announced`` maps pairs of a
     queue and a pool to the version with which it is stored that the queue left the
-    pool.
+    pool. The jobs of all streams may take ``max_held`` bytes together; ``submitting``
+    counts those that are being submitted here.
     """
 
-    def __init__(self, stream_of, streams, streams_of_all_pools, operator, metrics):
+    def __init__(
+        self,
+        stream_of,
+        streams,
+        streams_of_all_pools,
+        operator,
+        metrics,
+        max_held=math.inf,
+    ):
         self.stream_of = stream_of
         self.streams = streams
         self.streams_of_all_pools = streams_of_all_pools
         self.operator = operator
         self.metrics = metrics
         self.announced = {}
+        self.max_held = max_held
+        self.submitting = held_work.HeldWork()
+        self.submission_numbers = itertools.count()
+
+    def _has_room(self, size, group):
+        holdings = [stream.deferred.work for stream in self.streams()]
+        return held_work.has_room(
+            size, group, [*holdings, self.submitting], self.max_held
+        )
 
     async def _find_copies(self, job_id):
         """Return the streams and states of a job as read so far.
@@ -159,6 +180,18 @@
                 "move of queue stored", queue=job.queue, left=pool, version=version
             )
 
+    async def _store(self, job, deadline):
+        """Store the records of ``job``; return the ``Acceptance`` and a detail."""
+        stream, number = self.stream_of(job.pool), next(self.submission_numbers)
+        self.submitting.put(number, held_work.group_of(job), job.size)
+        try:
+            max_wait = deadline - time.monotonic()
+            return await self._append(
+                stream, stream.appender, submission_records(job), max_wait
+            )
+        finally:
+            self.submitting.drop(number)
+
     async def submit(self, job, timeout):
         """Submit ``job``; return the ``Acceptance``.
 
@@ -166,7 +199,11 @@
         ``timeout`` is in seconds.
         """
         started_at = time.monotonic()
-        job = attrs.evolve(job, configuration=self.operator.version_for(job))
+        job = attrs.evolve(
+            job,
+            configuration=self.operator.version_for(job),
+            size=held_work.job_size(job),
+        )
         try:
             known = await self._find_submitted(job, started_at + timeout)
         except StateUnknownError as error:
@@ -178,14 +215,10 @@
                 acceptance, detail = Acceptance.ACCEPTED, "known already"
             elif never_fits(job, self.operator.maximum_of(job.account)):
                 acceptance, detail = Acceptance.REFUSED, "above the account's maximum"
+            elif not self._has_room(job.size, held_work.group_of(job)):
+                acceptance, detail = Acceptance.REFUSED, "no room for its work"
             else:
-                stream = self.stream_of(job.pool)
-                acceptance, detail = await self._append(
-                    stream,
-                    stream.appender,
-                    submission_records(job),
-                    started_at + timeout - time.monotonic(),
-                )
+                acceptance, detail = await self._store(job, started_at + timeout)
         self.metrics.count(f"submissions_{acceptance.value}")
         self.metrics.observe("submission_seconds", time.monotonic() - started_at)
         logger.info(
@@ -213,6 +246,8 @@
         if self.operator.has_moved(queue.name):
             others = self.streams_of_all_pools()
             streams += [stream for stream in others if stream is not streams[0]]
+        if not self._has_room(held_work.CANCELLATION_BYTES, None):
+            return Acceptance.REFUSED, "no room for its cancellation"
         for stream in streams:
             if stream.is_cancelled_early(job_id):
                 continue
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -105,7 +105,8 @@
     highest), ``stretch`` and ``target_duration`` (seconds) are copied from its queue at
     the time of acceptance. ``account`` is the client account that submitted it, empty
     for none. ``configuration`` is the version of the configuration under which the job
-    was submitted, 0 if the queue's pool may have been another one under it.
+    was submitted, 0 if the queue's pool may have been another one under it. ``size`` is
+    about how many bytes a daemon needs to hold the job until it has ended.
     """
 
     id: str
@@ -123,6 +124,7 @@
     target_duration: float = 0.0
     account: str = ""
     configuration: int = 0
+    size: int = 0
 
     def due_at(self, occurrence):
         """Return the earliest start of an occurrence, in seconds since the epoch."""
--- a/azurelanding/platform/callers.py
+++ b/azurelanding/platform/callers.py
@@ -90,7 +90,7 @@
 
 
 def _decode_step(values, number):
-    after = tuple(values.get("after", ()))
+    after = tuple(sorted(set(values.get("after", ()))))
     if any(earlier >= number for earlier in after):
         raise JobFormatError(f"step {number} is after one that isn't earlier")
     return Step(
--- a/azurelanding/site_daemon.py
+++ b/azurelanding/site_daemon.py
@@ -52,6 +52,8 @@
 MAX_STORE_SILENCE_SECONDS = 1.5
 """Time without any answer of the store from which on callers' requests are not sent to
 it; longer than the wait of a read and the slowest answers."""
+WORK_SHARE = 0.25
+"""Share of the memory that the jobs of all pools may take."""
 MAX_READY_AGE_SECONDS = 2.5
 """Maximum age of the store's last answer for the daemon to count as ready."""
 
@@ -115,6 +117,7 @@
             self.streams_of_all_pools,
             self.operator,
             self.metrics,
+            site.memory * WORK_SHARE,
         )
         self.member = GroupMember.from_config(
             self.name, TOPIC, site.store, service_clients.make_store()
