Connections of peer daemons hold a bounded amount

Anybody who reaches the address for peers could end an entry or a control daemon: the RPC library takes a message of up to 64 MB, runs any number of calls, keeps each answer until it is read, and nothing limited the connections.

There are two connections for each configured peer and 16 more; beyond that the one that was quiet longest is closed.

--- a/azurelanding/daemon.py
+++ b/azurelanding/daemon.py
@@ -46,7 +46,9 @@
             self.own_status,
             self.follower,
         )
-        self.peer_server = PeerServer.from_config(settings.entries, self.members)
+        self.peer_server = PeerServer.from_config(
+            settings.entries, self.members, self.metrics
+        )
         load = ServerLoad.from_process(self.metrics, OPERATORS_SHARE)
         self.operators_server = HttpServer.from_config(
             settings.operators.address,
--- a/azurelanding/entries/server.py
+++ b/azurelanding/entries/server.py
@@ -1,12 +1,22 @@
 """Answer the calls of peer daemons."""
 
+import socket
+
+import anyio
 import capnp
 
 from azurelanding.addresses import split_address
+from azurelanding.bounded_http import DEFAULT_MAX_BYTES, ServerLoad
 from azurelanding.entries import wire
 from azurelanding.entries.members import MAX_RELAYED_RECORDS
+from azurelanding.entries.relay import Relay
+from azurelanding.metrics import Metrics
 
 MAX_ANSWER_WAIT_SECONDS = 600.0
+CONNECTIONS_PER_PEER = 2
+SPARE_CONNECTIONS = 16
+"""Connections beyond those of the configured peers: to ask for the answer to a request
+a daemon connects anew."""
 
 
 async def _find_no_answer(_claim_id, _wait):
@@ -57,21 +67,34 @@
     daemon claimed, or ``None``.
     """
 
-    def __init__(self, address, members):
+    def __init__(self, address, members, load=None):
         self.address = address
         self.members = members
+        self.load = load or ServerLoad(
+            SPARE_CONNECTIONS, DEFAULT_MAX_BYTES, Metrics(None)
+        )
         self.find_answer = _find_no_answer
-        self.server = None
+        self.listener = None
 
     @classmethod
-    def from_config(cls, settings, members):
+    def from_config(cls, settings, members, metrics=None):
         """Return a server at the address in ``settings``, not yet listening."""
-        return cls(settings.address, members)
+        count = CONNECTIONS_PER_PEER * len(settings.fellows) + SPARE_CONNECTIONS
+        load = ServerLoad(count, DEFAULT_MAX_BYTES, metrics or Metrics(None))
+        return cls(settings.address, members, load)
 
     async def _serve(self, stream):
-        await capnp.TwoPartyServer(
-            stream, bootstrap=_PeerConnection(self.members, self.find_answer)
-        ).on_disconnect()
+        """Answer the calls of one connection until it ends."""
+        near, far = socket.socketpair()
+        async with stream, await anyio.abc.SocketStream.from_socket(near) as system:
+            far_stream = await capnp.AsyncIoStream.create_unix_connection(sock=far)
+            calls = _PeerConnection(self.members, self.find_answer)
+            server = capnp.TwoPartyServer(far_stream, bootstrap=calls)
+            try:
+                await Relay(stream, system, self.load).run()
+            finally:
+                server.close()
+                far_stream.close()
 
     async def start(self, task_group):
         """Serve connections in a task of ``task_group``.
@@ -79,11 +102,20 @@
         Raises ``OSError`` when the address is in use.
         """
         host, port = split_address(self.address)
-        self.server = await capnp.AsyncIoStream.create_server(self._serve, host, port)
-        task_group.start_soon(self.server.serve_forever)
+        self.listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=port, reuse_port=False
+        )
+        task_group.start_soon(self._listen)
+
+    async def _listen(self):
+        try:
+            await self.listener.serve(self._serve)
+        except* anyio.ClosedResourceError:
+            # The server was closed.
+            pass
 
     async def close(self):
         """Stop listening; may be called twice."""
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        if self.listener is not None:
+            await self.listener.aclose()
+            self.listener = None
