--- a/azurelanding/bounded_http.py
+++ b/azurelanding/bounded_http.py
@@ -1,19 +1,18 @@
 """HTTP connections that hold a bounded amount, whatever their clients send.
 
-``HttpLimits`` bounds one connection, ``ServerLoad`` all connections of a server. What
-is over a limit is refused if no earlier request of its connection is unanswered, as a
-refusal would be taken for the answer to that one; otherwise the connection is closed.
+``HttpLimits`` bounds one connection, ``ServerLoad`` all connections of a server; both
+are in ``server_load``. What is over a limit is refused if no earlier request of its
+connection is unanswered, as a refusal would be taken for the answer to that one;
+otherwise the connection is closed.
 """
 
 import collections
 import http
-import resource
 
-import attrs
 import structlog
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from azurelanding import http_server
+from azurelanding.server_load import HttpLimits
 
 logger = structlog.get_logger()
 
@@ -23,104 +22,23 @@
 """About what a header takes beyond its name and value, once it is decoded too."""
 HEADER_FRAMING_BYTES = 3
 """Fewest bytes that frame a header: the colon and the line break."""
-BATCHES = 4
-"""In how many batches a server accepts its connections; so many may be open beyond its
-limit until the first of them are closed."""
 BODY_COPIES = 2
 """Copies of a body while its parts are joined."""
-DEFAULT_MAX_BYTES = 64 << 20
 CHUNK_OVERHEAD_FACTOR = 8
 """Longest framing for each byte of a body that is sent in chunks of a byte."""
 
 
-@attrs.frozen
-class HttpLimits:
-    """The limits of one connection; sizes are in bytes, times in seconds.
-
-    ``max_header`` bounds a request's head, and again what trails its body.
-    The head must end within ``header_timeout``, the whole request within
-    ``request_timeout``, ``None`` for no limit. A connection is idle for
-    ``idle_timeout`` at most, and for as long its client may leave an answer unread.
-    ``max_pipelined`` requests may wait for the answers to earlier ones.
-    """
-
-    max_header: int = 16_384
-    header_timeout: float = 3.0
-    request_timeout: float | None = 30.0
-    idle_timeout: float = 15.0
-    max_pipelined: int = 32
-
-
 class OverLimitError(Exception):
     """A client is over a limit; ends the parsing of what it has sent."""
 
 
-class ServerLoad:
-    """What the connections of one server hold together.
-
-    ``connections`` maps them to the bytes that each holds, the one that was quiet for
-    longest first. Beyond ``max_connections`` an idle one is closed for a new one, and
-    beyond ``max_bytes`` the one that holds most.
-    """
-
-    def __init__(self, max_connections, max_bytes, metrics):
-        self.max_connections = max_connections
-        self.max_bytes = max_bytes
-        self.metrics = metrics
-        self.connections = collections.OrderedDict()
-        self.held = 0
-
-    @classmethod
-    def from_process(cls, metrics, share):
-        """Return a load for a share of the descriptors that this process may open."""
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        return cls(max(1, int(descriptors * share)), DEFAULT_MAX_BYTES, metrics)
-
-    @property
-    def accepted_at_once(self):
-        """Return how many connections a server may accept at once.
-
-        They are all open before any of them can be closed.
-        """
-        return max(1, min(http_server.BACKLOG, self.max_connections // BATCHES))
-
-    def admit(self, connection):
-        """Add a connection, and close another one if there are too many."""
-        self.connections[connection] = 0
-        if len(self.connections) > self.max_connections:
-            quiet = (other for other in self.connections if not other.is_active)
-            next(quiet, connection).cut("too-many-connections")
-
-    def touch(self, connection):
-        """Note that a connection was used."""
-        if connection in self.connections:
-            self.connections.move_to_end(connection)
-
-    def hold(self, connection, size):
-        """Set how many bytes a connection holds."""
-        if connection not in self.connections:
-            return
-        self.held += size - self.connections[connection]
-        self.connections[connection] = size
-        if self.held > self.max_bytes:
-            largest = max(self.connections, key=self.connections.get)
-            largest.cut("too-many-bytes")
-
-    def forget(self, connection):
-        """Remove a connection that was closed; may be called again."""
-        self.held -= self.connections.pop(connection, 0)
-
-    def count(self, reason):
-        """Count a refusal or a cut."""
-        self.metrics.count(f"connections_cut_{reason.replace('-', '_')}")
-
-
 class BoundedProtocol(HttpToolsProtocol):
     """One connection of a server that keeps to ``find_limits()`` and to ``load``.
 
     Only headers in ``kept_headers`` are kept, and the last of each; all if it is
     ``None``. ``costs`` has what each request takes that is not answered yet, in bytes,
-    and ``kept_positions`` where each kept header of the current head is.
+    and ``kept_positions`` where each kept header of the current head is. While
+    ``is_waiting``, the next request waits until the last answer is read.
     """
 
     load = None
--- a/azurelanding/callers/protocol.py
+++ b/azurelanding/callers/protocol.py
@@ -4,10 +4,11 @@
 import uuid
 
 from azurelanding import bounded_http
-from azurelanding.bounded_http import BoundedProtocol, HttpLimits, ServerLoad
+from azurelanding.bounded_http import BoundedProtocol
 from azurelanding.callers import wire
 from azurelanding.http_server import KEEP_ALIVE_SECONDS
 from azurelanding.requests import Outcome
+from azurelanding.server_load import HttpLimits, ServerLoad
 
 DESCRIPTORS_SHARE = 0.4
 """Share of the descriptors that callers' connections may have."""
--- a/azurelanding/daemon.py
+++ b/azurelanding/daemon.py
@@ -5,7 +5,7 @@
 import anyio
 import structlog
 
-from azurelanding.bounded_http import HttpLimits, ServerLoad, make_protocol
+from azurelanding.bounded_http import make_protocol
 from azurelanding.entries.members import Members
 from azurelanding.entries.server import PeerServer
 from azurelanding.entries.wire import Status
@@ -16,6 +16,7 @@
 from azurelanding.log_service.follower import FleetFollower
 from azurelanding.metrics import Metrics
 from azurelanding.operators import api
+from azurelanding.server_load import HttpLimits, ServerLoad
 from azurelanding.snapshot_keeper import SnapshotKeeper
 from azurelanding.supervision import keep_running
 
--- a/azurelanding/entries/server.py
+++ b/azurelanding/entries/server.py
@@ -6,11 +6,11 @@
 import capnp
 
 from azurelanding.addresses import split_address
-from azurelanding.bounded_http import DEFAULT_MAX_BYTES, ServerLoad
 from azurelanding.entries import wire
 from azurelanding.entries.members import MAX_RELAYED_RECORDS
 from azurelanding.entries.relay import Relay
 from azurelanding.metrics import Metrics
+from azurelanding.server_load import DEFAULT_MAX_BYTES, ServerLoad
 
 MAX_ANSWER_WAIT_SECONDS = 600.0
 CONNECTIONS_PER_PEER = 2
--- a/azurelanding/platform/main.py
+++ b/azurelanding/platform/main.py
@@ -10,7 +10,7 @@
 import structlog
 
 from azurelanding import log, process_signals, served_metrics
-from azurelanding.bounded_http import HttpLimits, ServerLoad, make_protocol
+from azurelanding.bounded_http import make_protocol
 from azurelanding.configuration import RequestLimits
 from azurelanding.http_server import HttpServer
 from azurelanding.platform import callers, operator, settings
@@ -20,6 +20,7 @@
 from azurelanding.platform.traffic import count_received
 from azurelanding.platform.workers import WorkerClient, decode_worker_entry
 from azurelanding.served_metrics import ServedMetrics
+from azurelanding.server_load import HttpLimits, ServerLoad
 from azurelanding.site import SettingsError
 from azurelanding.site_daemon import ServiceClients, SiteDaemon
 
--- a/azurelanding/tests/test_bounded_http.py
+++ b/azurelanding/tests/test_bounded_http.py
@@ -6,9 +6,10 @@
 import anyio
 import testtools
 
-from azurelanding.bounded_http import HttpLimits, ServerLoad, make_protocol
+from azurelanding.bounded_http import make_protocol
 from azurelanding.http_server import HttpServer, read_body, send_reply
 from azurelanding.served_metrics import ServedMetrics
+from azurelanding.server_load import HttpLimits, ServerLoad
 from azurelanding.tests.crowds import connect
 
 LIMITS = HttpLimits(
--- a/azurelanding/tests/test_relay.py
+++ b/azurelanding/tests/test_relay.py
@@ -7,10 +7,10 @@
 import anyio.abc
 import testtools
 
-from azurelanding.bounded_http import ServerLoad
 from azurelanding.entries import relay as relay_module
 from azurelanding.entries.relay import MAX_CALLS, MAX_MESSAGE_BYTES, Relay
 from azurelanding.served_metrics import ServedMetrics
+from azurelanding.server_load import ServerLoad
 
 CALL, FINISH = 2, 4
 
