--- a/azurelanding/entries/server.py
+++ b/azurelanding/entries/server.py
@@ -4,6 +4,8 @@
 
 import anyio
 import capnp
+import structlog
+from anyio.abc import SocketStream
 
 from azurelanding.addresses import split_address
 from azurelanding.entries import wire
@@ -12,7 +14,11 @@
 from azurelanding.metrics import Metrics
 from azurelanding.server_load import DEFAULT_MAX_BYTES, ServerLoad
 
+logger = structlog.get_logger()
+
 MAX_ANSWER_WAIT_SECONDS = 600.0
+ACCEPT_PAUSE_SECONDS = 0.5
+"""Pause after a connection could not be accepted, as when descriptors are short."""
 CONNECTIONS_PER_PEER = 2
 SPARE_CONNECTIONS = 16
 """Connections beyond those of the configured peers: to ask for the answer to a request
@@ -83,10 +89,18 @@
         load = ServerLoad(count, DEFAULT_MAX_BYTES, metrics or Metrics(None))
         return cls(settings.address, members, load)
 
-    async def _serve(self, stream):
-        """Answer the calls of one connection until it ends."""
+    async def _serve(self, connection):
+        """Answer the calls of one connection; no error of it may end the others."""
+        try:
+            await self._serve_stream(await SocketStream.from_socket(connection))
+        except Exception:
+            logger.exception("connection of a peer failed")
+        finally:
+            connection.close()
+
+    async def _serve_stream(self, stream):
         near, far = socket.socketpair()
-        async with stream, await anyio.abc.SocketStream.from_socket(near) as system:
+        async with stream, await SocketStream.from_socket(near) as system:
             far_stream = await capnp.AsyncIoStream.create_unix_connection(sock=far)
             calls = _PeerConnection(self.members, self.find_answer)
             server = capnp.TwoPartyServer(far_stream, bootstrap=calls)
@@ -102,20 +116,29 @@
         Raises ``OSError`` when the address is in use.
         """
         host, port = split_address(self.address)
-        self.listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, reuse_port=False
-        )
-        task_group.start_soon(self._listen)
-
-    async def _listen(self):
-        try:
-            await self.listener.serve(self._serve)
-        except* anyio.ClosedResourceError:
-            # The server was closed.
-            pass
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.listener = socket.create_server((host, port), family=family)
+        self.listener.setblocking(False)
+        task_group.start_soon(self._listen, self.listener, task_group)
+
+    async def _listen(self, listener, task_group):
+        """Accept connections until the listener is closed."""
+        while self.listener is listener:
+            try:
+                await anyio.wait_readable(listener)
+                connection, _ = listener.accept()
+            except (anyio.ClosedResourceError, BlockingIOError):
+                continue
+            except OSError as error:
+                logger.warning("connection of a peer not accepted", reason=str(error))
+                await anyio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            connection.setblocking(False)
+            task_group.start_soon(self._serve, connection)
 
     async def close(self):
         """Stop listening; may be called twice."""
         if self.listener is not None:
-            await self.listener.aclose()
-            self.listener = None
+            listener, self.listener = self.listener, None
+            anyio.notify_closing(listener)
+            listener.close()
