Connections are measured again before one is closed for its size

Answers that a client has read were counted until its next request: nobody tells the server when a short answer leaves its buffer. So idle connections could add up, and one that held little was closed. When a server holds too much, it asks each connection first.

--- a/azurelanding/bounded_http.py
+++ b/azurelanding/bounded_http.py
@@ -94,7 +94,7 @@
         elif self.in_message and not self.in_head:
             self._check_framing(len(data) - max(0, self.body_size - body_before))
         self._time_message()
-        self._hold()
+        self.load.hold(self)
 
     def _time_message(self):
         """Time what has not arrived whole; most requests do in one piece."""
@@ -138,10 +138,10 @@
         if self.framing_size > 2 * self.limits.max_header + allowed:
             self._refuse(http.HTTPStatus.BAD_REQUEST, "framing-too-large")
 
-    def _hold(self):
-        unread = 0 if self.is_lost else self.transport.get_write_buffer_size()
+    def measure(self):
+        """Return the bytes that the connection holds, with answers that aren't read."""
         requests = self.kept_size + self.unparsed_size + sum(self.costs)
-        self.load.hold(self, requests + unread)
+        return requests + self.transport.get_write_buffer_size()
 
     def _release(self):
         """Drop what the connection holds; requests that have not begun never will."""
@@ -206,7 +206,7 @@
         self.in_head = False
         self.costs.append(REQUEST_BYTES + self.kept_size)
         self.head_size = self.unparsed_size = self.kept_size = 0
-        self._hold()
+        self.load.hold(self)
         if self.is_lost:
             raise OverLimitError
         super().on_headers_complete()
@@ -240,7 +240,7 @@
         self.is_waiting = self.flow.write_paused and not self.transport.is_closing()
         if not self.is_waiting:
             super().on_response_complete()
-        self._hold()
+        self.load.hold(self)
         self._time_last_answer()
 
     def eof_received(self):
@@ -334,7 +334,7 @@
         if self.is_waiting:
             self.is_waiting = False
             super().on_response_complete()
-        self._hold()
+        self.load.hold(self)
 
     def _start_write_timer(self):
         if self.write_timer is None:
--- a/azurelanding/entries/relay.py
+++ b/azurelanding/entries/relay.py
@@ -22,8 +22,9 @@
 """Longest time that a message may take from its first byte, in either direction."""
 CHUNK_BYTES = 65_536
 WORD_BYTES = 8
-UNANSWERED_KINDS = frozenset((4, 6))
-"""Kinds of messages without an answer: those that end a call or drop an object."""
+FINISH, RELEASE = 4, 6
+UNANSWERED_KINDS = frozenset((FINISH, RELEASE))
+"""Kinds of messages without an answer, as numbered in the schema of Cap'n Proto RPC."""
 
 
 class RelayError(Exception):
@@ -35,12 +36,13 @@
     """The state of one connection: what its peer has asked and been answered.
 
     ``scope`` ends the connection. It ``is_active`` while calls are ``unanswered``.
-    ``load`` is the ``ServerLoad`` that counts the messages under way.
+    ``load`` is the ``ServerLoad`` that counts the message under way, of ``held`` bytes.
     """
 
     peer: object
     system: object
     load: object
+    held: int = 0
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     unanswered: int = 0
     answers: anyio.Event = attrs.field(factory=anyio.Event)
@@ -57,6 +59,14 @@
         self.load.forget(self)
         self.scope.cancel()
 
+    def measure(self):
+        """Return the bytes of the message under way."""
+        return self.held
+
+    def _hold(self, size):
+        self.held = size
+        self.load.hold(self)
+
     async def run(self):
         """Pass messages on until either side ends, or the peer is over a limit."""
         self.load.admit(self)
@@ -82,9 +92,9 @@
                 await self.answers.wait()
             size = await source.begin(MAX_MESSAGE_BYTES)
             self.load.touch(self)
-            self.load.hold(self, size)
+            self._hold(size)
             kind = await source.pass_on(self.system)
-            self.load.hold(self, 0)
+            self._hold(0)
             self.unanswered += kind not in UNANSWERED_KINDS
 
     async def _pass_answers(self):
@@ -99,7 +109,8 @@
 class Frames:
     """Reads the messages of one direction of a connection.
 
-    ``head`` is the part of the current one that has been read.
+    ``head`` is the part of the current one that has been read, ``left`` how many of its
+    bytes follow, and ``received`` what was read and is not used yet.
     """
 
     def __init__(self, stream):
--- a/azurelanding/server_load.py
+++ b/azurelanding/server_load.py
@@ -38,9 +38,10 @@
 class ServerLoad:
     """What the connections of one server hold together.
 
-    ``connections`` maps them to the bytes that each holds, the one that was quiet for
-    longest first. Beyond ``max_connections`` an idle one is closed for a new one, and
-    beyond ``max_bytes`` the one that holds most.
+    ``connections`` maps them to the bytes that each held when it was last asked with
+    its ``measure``, the one that was quiet for longest first. Beyond
+    ``max_connections`` an idle one is closed for a new one, and beyond ``max_bytes``
+    the one that holds most.
     """
 
     def __init__(self, max_connections, max_bytes, metrics):
@@ -76,16 +77,23 @@
         if connection in self.connections:
             self.connections.move_to_end(connection)
 
-    def hold(self, connection, size):
-        """Set how many bytes a connection holds."""
-        if connection not in self.connections:
-            return
-        self.held += size - self.connections[connection]
-        self.connections[connection] = size
+    def hold(self, connection):
+        """Note what a connection holds now, and close the largest of too large ones."""
+        self._measure(connection)
+        if self.held > self.max_bytes:
+            # Answers are read without a word to the server.
+            for other in self.connections:
+                self._measure(other)
         if self.held > self.max_bytes:
             largest = max(self.connections, key=self.connections.get)
             largest.cut("too-many-bytes")
 
+    def _measure(self, connection):
+        if connection in self.connections:
+            size = connection.measure()
+            self.held += size - self.connections[connection]
+            self.connections[connection] = size
+
     def forget(self, connection):
         """Remove a connection that was closed; may be called again."""
         self.held -= self.connections.pop(connection, 0)
