Last answers are left to clients that are still reading them

Found in reading the diff: a connection that is being closed was cut after the time of an idle one, however much of a long last answer its client had read by then. It is cut only if nothing was read in that time; a connection that is being closed is not active, so it gives way to a new one. A test of a slow reader failed before, and one of a short answer that nobody reads had passed without its guard: it has both sizes now.

--- a/azurelanding/bounded_http.py
+++ b/azurelanding/bounded_http.py
@@ -8,6 +8,7 @@
 
 import collections
 import http
+import math
 
 import structlog
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -58,6 +59,7 @@
         self.kept_positions = {}
         self.in_head = self.in_message = self.is_lost = self.is_waiting = False
         self.begun = 0
+        self.unread = math.inf
         self.refusal = None
         self.timer = self.write_timer = self.timed = None
         self.messages = 0
@@ -73,10 +75,15 @@
         super().connection_lost(exc)
 
     @property
-    def is_active(self):
+    def is_unanswered(self):
         """Return whether a request of this connection is not answered yet."""
         return self.cycle is not None and not self.cycle.response_complete
 
+    @property
+    def is_active(self):
+        """Return whether a request of this connection may still be answered."""
+        return self.is_unanswered and not self.transport.is_closing()
+
     # Parsing
 
     def data_received(self, data):
@@ -149,7 +156,7 @@
         self.load.forget(self)
         self.pipeline.clear()
         self.costs.clear()
-        if self.is_active:
+        if self.is_unanswered:
             self.cycle.disconnected = True
             self.cycle.body = bytearray()
 
@@ -263,6 +270,19 @@
         if self.transport.is_closing() and not self.is_lost:
             self._start_write_timer()
 
+    def _time_out_unread(self):
+        """Cut a connection whose client doesn't read.
+
+        The last answer is left to a client that is still reading it: the connection
+        gives way to a new one.
+        """
+        self.write_timer = None
+        unread, self.unread = self.unread, self.transport.get_write_buffer_size()
+        if self.transport.is_closing() and self.unread < unread:
+            self._start_write_timer()
+        else:
+            self.cut("answer-unread")
+
     # Refusals
 
     def send_400_response(self, msg):
@@ -339,7 +359,7 @@
     def _start_write_timer(self):
         if self.write_timer is None:
             self.write_timer = self.loop.call_later(
-                self.limits.idle_timeout, self.cut, "answer-unread"
+                self.limits.idle_timeout, self._time_out_unread
             )
 
     def _stop_write_timer(self):
--- a/azurelanding/tests/test_bounded_http.py
+++ b/azurelanding/tests/test_bounded_http.py
@@ -208,6 +208,10 @@
         self.talk(head)
         self.assertEqual(6, len(self.headers))
 
+    def test_request_that_is_cut_for_its_size_does_not_begin(self):
+        self.assertRegex(self.talk(GET % 1, max_bytes=100), b"<(end|reset)>")
+        self.assertEqual([], self.began)
+
     def test_requests_ahead_that_take_too_much_end_with_their_connection(self):
         requests = b"".join(GET % number for number in range(20))
         self.seconds = 0.2
@@ -223,14 +227,18 @@
     def setUp(self):
         super().setUp()
         self.began = 0
+        self.size = 300_000
 
     async def app(self, scope, receive, send):
         """Answer with more than the buffers take."""
         self.began += 1
-        await send_reply(send, 200, (), b"a" * 300_000)
+        await send_reply(send, 200, (), b"a" * self.size)
+
+    def leave_unread(self, request, seconds, reads=0):
+        """Send ``request`` and read ``reads`` times; return what is left after a while.
 
-    def leave_unread(self, request, seconds):
-        """Send ``request`` and read nothing; return what is left after a while."""
+        These are the connections, and the bytes that they hold.
+        """
 
         async def main():
             load = ServerLoad(50, 1e9, ServedMetrics())
@@ -242,6 +250,9 @@
                 server.start(task_group)
                 stream = await connect(server.address, small_window=True)
                 await stream.send(request)
+                for _ in range(reads):
+                    await anyio.sleep(LIMITS.idle_timeout / 2)
+                    await stream.receive()
                 await anyio.sleep(seconds)
                 left = len(connections), load.held
                 await anyio.aclose_forcefully(stream)
@@ -253,7 +264,14 @@
     def test_last_answer_that_is_not_read_ends_its_connection_all_the_same(self):
         closing = GET[:-2] % 1 + b"Connection: close\r\n\r\n"
         seconds = 3 * LIMITS.idle_timeout
-        self.assertEqual((0, 0), self.leave_unread(closing, seconds))
+        # A short one does not make the server wait to write.
+        for self.size in (40_000, 300_000):
+            self.assertEqual((0, 0), self.leave_unread(closing, seconds))
+
+    def test_last_answer_is_left_to_a_client_that_reads_it_slowly(self):
+        closing = GET[:-2] % 1 + b"Connection: close\r\n\r\n"
+        count, _ = self.leave_unread(closing, LIMITS.idle_timeout / 2, reads=8)
+        self.assertEqual(1, count)
 
     def test_no_request_begins_while_earlier_answers_are_unread(self):
         self.leave_unread(GET % 1 * 20, LIMITS.idle_timeout / 2)
