Tests of a daemon whose jobs take as much memory as they may

A refused job is not stored, an accepted one is accepted again, cancellations of unknown jobs need room too, and there is room again once jobs have ended.

--- a/azurelanding/tests/test_job_service.py
+++ b/azurelanding/tests/test_job_service.py
@@ -163,3 +163,65 @@
             await until_phase(world, job, JobPhase.CANCELLED)
 
         self.run_with(scenario)
+
+
+class FullTest(testtools.TestCase):
+    """Submissions to a daemon whose jobs take as much memory as they may."""
+
+    def run_with(self, scenario):
+        world = World(partitions=1, lease=6.0)
+        world.configure(QUEUE)
+        anyio.run(world.run, scenario, 1)
+
+    async def fill(self, world):
+        """Submit jobs that wait until one is refused; return its id."""
+        (daemon,) = world.daemons
+        await until(daemon.is_ready)
+        daemon.service.max_held = 20_000
+        for number in range(20):
+            job = make_job(f"{number:016x}")
+            if await daemon.service.submit(job, 3.0) is Acceptance.REFUSED:
+                return job.id
+        return self.fail("all were accepted")
+
+    def test_job_without_room_is_refused_and_never_stored(self):
+        async def scenario(world):
+            (daemon,) = world.daemons
+            refused = await self.fill(world)
+            stored = world.store.partitions[TOPIC, 0].newest
+            self.assertNotIn(f"job/{refused}", stored)
+            self.assertIn("job/" + "0" * 16, stored)
+            self.assertIsNone(await daemon.service.phase(QUEUE, refused, 3.0))
+            # A repeat of an accepted one is accepted all the same.
+            again = await daemon.service.submit(make_job(), 3.0)
+            self.assertIs(Acceptance.ACCEPTED, again)
+
+        self.run_with(scenario)
+
+    def test_cancellations_of_jobs_that_are_not_known_need_room_too(self):
+        async def scenario(world):
+            (daemon,) = world.daemons
+            await until(daemon.is_ready)
+            daemon.service.max_held = 5_000
+            outcomes = [
+                await daemon.service.cancel(QUEUE, f"{number:016x}", 3.0)
+                for number in range(20)
+            ]
+            self.assertIs(Acceptance.NO_JOB, outcomes[0])
+            self.assertIs(Acceptance.REFUSED, outcomes[-1])
+
+        self.run_with(scenario)
+
+    def test_there_is_room_again_once_jobs_have_ended(self):
+        async def scenario(world):
+            (daemon,) = world.daemons
+            refused = await self.fill(world)
+            for number in range(int(refused, 16)):
+                await daemon.service.cancel(QUEUE, f"{number:016x}", 3.0)
+            while True:
+                job = make_job(refused[:-2] + "ff")
+                if await daemon.service.submit(job, 3.0) is Acceptance.ACCEPTED:
+                    return
+                await anyio.sleep(0.05)
+
+        self.run_with(scenario)
