--- a/azurelanding/tests/test_site_crowds.py
+++ b/azurelanding/tests/test_site_crowds.py
@@ -7,8 +7,8 @@
 """
 
 import contextlib
-import resource
 import struct
+import sys
 
 import anyio
 import capnp
@@ -33,15 +33,20 @@
 POST = b"POST /services/preview/a HTTP/1.1\r\nHost: h\r\n"
 
 
-@contextlib.contextmanager
-def few_descriptors():
-    """Let processes that are started meanwhile open few descriptors."""
-    before = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, before[1]))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+class FewDescriptorsSite(LocalSite):
+    """A site whose processes may open few descriptors."""
+
+    async def _spawn(self, name, *arguments):
+        with (self.path / f"{name}.log").open("ab") as output:
+            return await anyio.open_process(
+                [
+                    *("sh", "-c", 'ulimit -n "$0" && exec "$@"', str(DESCRIPTORS)),
+                    *(sys.executable, "-m", *arguments),
+                ],
+                stdin=None,
+                stdout=output,
+                stderr=output,
+            )
 
 
 async def stay_idle(stream):
@@ -101,10 +106,10 @@
         """Let ``count`` clients meet the daemon of ``role`` at its address ``part``."""
 
         async def scenario():
-            site = LocalSite.from_config(SiteConfig(entries=1, controls=1))
+            config = SiteConfig(entries=1, controls=1)
+            site = FewDescriptorsSite.from_config(config)
             try:
-                with few_descriptors():
-                    await site.start()
+                await site.start()
                 result = await publish(site, rules)
                 self.assertTrue(result.accepted)
                 (daemon,) = (d for d in site.daemons.values() if d.role == role)
