Let a successor wait until no cut-off controller can extend leases

A pool's controller is cut off with half of the pool's workers; its successor starts their tasks again while the first runs go on for as long as the cut lasts.

Cause: two rules that did not refer to each other. A controller without a membership extended leases while half of its workers answered, for any time; its successor took the leases for over 2 s and a lease after the takeover, whoever had extended them.

Change: both count the same workers, which the controller stores (LeaseVoters). Without a membership more than half must have answered calls of the last 2 s, for 10 s at most. The successor relies on the end of a lease that it has not extended once half of them have answered it, or after that time. Reports count from when they were requested, and not from a worker that has started again since. A worker that has ended stays in the count: it may have answered the successor before it ended.

Tests: the three new tests of test_pool_control fail before ("a task runs twice", 1 != 2 and 2 != 3; a run that goes on) and hold now.

--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -92,6 +92,18 @@
     since: dict[str, float]
 
 
+@attrs.frozen
+class LeaseVoters:
+    """The workers that decide which controller of a pool extends leases.
+
+    A controller without a membership needs answers of more than half of them, its
+    successor of half (``azurelanding.lease_permission``).
+    """
+
+    pool: str
+    workers: tuple[str, ...]
+
+
 @attrs.frozen
 class GrantAdopted:
     """The controller of a pool keeps to a division of an account's maximum."""
@@ -121,6 +133,7 @@
     TaskChanged: lambda record: ("task", str(record.task)),
     WorkersVacated: lambda record: ("vacated", record.pool),
     WorkersMissing: lambda record: ("missing", record.pool),
+    LeaseVoters: lambda record: ("voters", record.pool),
     GrantAdopted: lambda record: ("grant", f"{record.pool}/{record.account}"),
     QueueMoved: lambda record: ("moved", record.queue),
     JobPinned: lambda record: ("pin", record.name),
@@ -144,7 +157,8 @@
     maps each worker to the runs that may be on it. ``vacated`` maps each pool to the
     workers that its controller keeps drained. ``missing`` maps each pool to the workers
     that have runs but no entry in the registry, and each of these to the time since
-    when. ``pools`` holds the ``PoolJobs`` of each pool, ``positions`` the next
+    when. ``voters`` maps each pool to its ``LeaseVoters``' workers.
+    ``pools`` holds the ``PoolJobs`` of each pool, ``positions`` the next
     ``JobState.position``, and ``placed_versions`` changes with the runs in ``placed``
     on each worker. ``unstarted`` maps each queue to its jobs that have started no task
     and may start some. ``ended_tasks`` maps ended jobs to the names of the tasks whose
@@ -168,6 +182,7 @@
         self.placed = {}
         self.vacated = {}
         self.missing = {}
+        self.voters = {}
         self.offsets = {}
         self.pools = collections.defaultdict(PoolJobs)
         self.positions = itertools.count()
@@ -220,6 +235,8 @@
                 self.vacated[record.pool] = record.workers
             case WorkersMissing():
                 self.missing[record.pool] = record.since
+            case LeaseVoters():
+                self.voters[record.pool] = record.workers
             case GrantAdopted():
                 self.adopted[record.pool, record.account] = record.version
             case QueueMoved():
--- a/azurelanding/lost_runs.py
+++ b/azurelanding/lost_runs.py
@@ -62,7 +62,7 @@
             task, run = link.lost_runs.pop(0)
             reason = "not listed by its worker"
             yield functools.partial(_free, draft, link, task, run, reason)
-        if link.has_ended or now > link.leased_until:
+        if link.has_ended or link.is_lease_over(now):
             reason = "worker gone" if link.has_ended else "lease over"
             for task, run in list(controller.ledger.placed.get(worker_id, ())):
                 yield functools.partial(_free, draft, link, task, run, reason)
@@ -81,10 +81,11 @@
     """Yield a function that frees it for each run on a worker without an entry.
 
     Its lease must have expired. The time from which a worker is missing is stored,
-    so that a takeover does not wait for a full lease again. A link to such a worker
-    is only made after the record no longer names it, because the link extends the
-    lease.
+    so that a takeover does not wait for a full lease again, once no earlier controller
+    can extend the lease. A link to such a worker is only made after the record no
+    longer names it, because the link extends the lease.
     """
+    succession = controller.pool_links.succession
     registered = controller.pool_links.registered
     runs = missing_workers.runs_by_missing_worker(
         controller.ledger, controller.pool, controller.links, registered
@@ -92,12 +93,12 @@
     recorded = controller.ledger.missing.get(controller.pool, {})
     wall_time = time.time()
     missing = {name: recorded.get(name, wall_time) for name in sorted(runs)}
-    if missing != recorded:
+    if missing != recorded and succession.is_sole(now):
         draft.add(WorkersMissing(controller.pool, missing))
     lease = controller.daemon.site.timing.longest_lease
     for name in missing:
         is_expired = missing_workers.is_lease_expired(
-            recorded.get(name), controller.started_at, lease, now, wall_time
+            recorded.get(name), succession.extensions_end_at(), lease, now, wall_time
         )
         if is_expired or any(_signs_of_end(controller, name, ended)):
             for task, run in runs[name]:
--- a/azurelanding/missing_workers.py
+++ b/azurelanding/missing_workers.py
@@ -1,12 +1,13 @@
 """Decide when the runs on workers without a registry entry are certainly over.
 
-Such a worker can't be called, but it may still be up with a valid lease. No controller
-extends that lease while the entry is missing, so the time since when it is
-missing shows whether the lease has expired.
+Such a worker can't be called, but it may still be up with a valid lease. Its controller
+doesn't extend that lease while the entry is missing, so the time since when it is
+missing shows whether the lease has expired, unless an earlier controller that is cut
+off may still extend it.
 """
 
+from azurelanding.lease_permission import MAX_REPORT_AGE_SECONDS
 from azurelanding.utils import MAX_CLOCK_SKEW_SECONDS
-from azurelanding.worker_link import TAKEOVER_SLACK_SECONDS
 
 LEASE_FACTOR = 1.05
 """Stretches a lease by the drift of a worker's slow clock, with some slack."""
@@ -26,16 +27,16 @@
     return found
 
 
-def is_lease_expired(missing_since, taken_over_at, lease, now, wall_time):
+def is_lease_expired(missing_since, extensions_end_at, lease, now, wall_time):
     """Return whether the lease of a missing worker has expired.
 
     ``missing_since`` is the stored time, in seconds since the epoch like ``wall_time``,
-    or ``None`` if none is stored yet. ``taken_over_at`` is when this controller began,
-    without a link to the worker, in ``boot_time`` like ``now``.
+    or ``None`` if none is stored yet. ``extensions_end_at`` is that of the controller's
+    ``LeaseSuccession``, in ``boot_time`` like ``now``; it has no link to the worker.
     """
-    lease_wait = TAKEOVER_SLACK_SECONDS + lease * LEASE_FACTOR
-    if now > taken_over_at + lease_wait:
+    lease_wait = lease * LEASE_FACTOR
+    if now > extensions_end_at + lease_wait:
         return True
     return missing_since is not None and wall_time > (
-        missing_since + lease_wait + MAX_CLOCK_SKEW_SECONDS
+        missing_since + MAX_REPORT_AGE_SECONDS + lease_wait + MAX_CLOCK_SKEW_SECONDS
     )
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -23,7 +23,7 @@
 from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
 from azurelanding.jobs import RunEnd
 from azurelanding.late_submissions import LateSubmissions
-from azurelanding.ledger import WorkersVacated
+from azurelanding.ledger import LeaseVoters, WorkersVacated
 from azurelanding.pool_accounts import PoolAccounts
 from azurelanding.pool_links import PoolLinks
 from azurelanding.pool_stops import PoolStops, log_run
@@ -108,7 +108,7 @@
         self.decision_scope = anyio.CancelScope()
         self.needs_decision = True
         self.decision_requested = Notifier()
-        self.started_at = self.last_expiry_at = boot_time()
+        self.last_expiry_at = boot_time()
 
     def end_control(self):
         """End the control; ``run`` then raises ``ControlLostError``.
@@ -173,7 +173,7 @@
                     "takeover waits for the store", pool=self.pool, reason=str(error)
                 )
                 await anyio.sleep(CHECK_INTERVAL_SECONDS)
-        self.started_at = boot_time()
+        self.pool_links.begin()
         logger.info(
             "pool taken over",
             pool=self.pool,
@@ -222,12 +222,15 @@
         draft.drop_ended_tasks()
         self._drop_expired_jobs(draft)
         self.accounts.adopt(draft)
+        self._record_voters(draft)
         draft.drop_pins(self.ledger.pins.void)
         self.late_submissions.withdraw(draft)
         starts = self._place(draft)
         records = draft.records()
         if records and not await self._store(records):
             return
+        if self.pool_links.permission.proposed is not None:
+            self.pool_links.permission.adopt_proposed()
         self._log_ended(draft)
         for link, number, born in ends_read:
             link.acknowledge(number, born)
@@ -315,6 +318,16 @@
         for task_id, run in begun.values():
             job_ends.record_begin(draft, task_id, run)
 
+    def _record_voters(self, draft):
+        """Record which workers decide who extends leases, if they have changed.
+
+        Until that is stored, both sets count.
+        """
+        voters = self.pool_links.voters_to_store()
+        if voters is not None:
+            draft.add(LeaseVoters(self.pool, tuple(sorted(voters))))
+            self.pool_links.permission.propose(voters)
+
     # Placement
 
     def _free_capacity(self, draft, excluded):
--- a/azurelanding/pool_links.py
+++ b/azurelanding/pool_links.py
@@ -6,7 +6,7 @@
 
 from azurelanding import worker_holds, worker_orders
 from azurelanding.fleet_workers import WorkerPhase
-from azurelanding.lease_permission import LeasePermission
+from azurelanding.lease_permission import LeasePermission, LeaseSuccession
 from azurelanding.link_watch import LinkWatch
 from azurelanding.supervision import keep_running
 from azurelanding.utils import boot_time
@@ -16,6 +16,9 @@
 """Timeout for closing a worker's connections."""
 WATCH_INTERVAL_SECONDS = 1.0
 """Interval between two checks for orders that wait too long."""
+VOTERS_INTERVAL_SECONDS = 1.0
+"""Shortest time between two changes of the stored voters, as workers join and leave a
+few at a time."""
 
 
 class PoolLinks:
@@ -27,7 +30,8 @@
     starts to these and to ``born`` of the incarnation that may still carry them out.
     ``begun`` maps jobs that were not known to have begun to a task and a run that has.
     ``controller`` holds what the links use of the controller, such as ``wake``,
-    ``end_control`` and ``charge_repeat``.
+    ``end_control`` and ``charge_repeat``. ``permission`` and ``succession`` decide
+    about leases; all three are made by ``begin``.
     """
 
     def __init__(self, pool, epoch, ledger, daemon, wake, end_control, charge_repeat):
@@ -37,23 +41,39 @@
         self.daemon = daemon
         self.watch = LinkWatch(pool, daemon.metrics)
         self.links = {}
-        self.permission = LeasePermission(pool, daemon.member, self.links)
+        self.voters_stored_at = float("-inf")
+        self.scopes = {}
+        self.late_starts = {}
+        self.registered = {}
+        self.begun = {}
+        self.wake = wake
+        self.end_control = end_control
+        self.charge_repeat = charge_repeat
+        self.begin()
+
+    def begin(self):
+        """Prepare the links of a pool that was taken over just now.
+
+        The ledger holds all that earlier controllers have stored. There are no links
+        yet.
+        """
+        voters = self.ledger.voters.get(self.pool, ())
+        member = self.daemon.member
+        self.permission = LeasePermission(self.pool, member, voters)
+        self.succession = LeaseSuccession(voters, boot_time(), member.member_timeout)
         self.controller = LinkController(
             make_client=self._make_client,
-            lease=daemon.site.timing.longest_lease,
-            notify=wake,
-            end_control=end_control,
+            lease=self.daemon.site.timing.longest_lease,
+            notify=self.wake,
+            end_control=self.end_control,
             is_startable=self._is_startable,
             record_begin=self._record_begin,
-            charge_repeat=charge_repeat,
+            charge_repeat=self.charge_repeat,
             is_leaving=self._is_leaving,
             watch=self.watch,
             permission=self.permission,
+            succession=self.succession,
         )
-        self.scopes = {}
-        self.late_starts = {}
-        self.registered = {}
-        self.begun = {}
 
     def reconcile(self, task_group):
         """Add links to newly registered workers, and drop the links not needed."""
@@ -124,6 +144,24 @@
         state = self.ledger.active.get(task_id.job)
         return state is not None and not state.is_over
 
+    def voters_to_store(self):
+        """Return the voters to store in place of the present ones, or ``None``.
+
+        Those of earlier controllers stay until these extend no leases any more.
+        """
+        now = boot_time()
+        voters = {
+            worker_id
+            for worker_id, link in self.links.items()
+            if link.has_answered and not link.has_ended
+        }
+        if voters == self.permission.voters or not self.succession.is_sole(now):
+            return None
+        if now < self.voters_stored_at + VOTERS_INTERVAL_SECONDS:
+            return None
+        self.voters_stored_at = now
+        return voters
+
     async def run_watch(self):
         """Watch for orders that wait too long, until cancelled."""
         try:
--- a/azurelanding/pool_stream.py
+++ b/azurelanding/pool_stream.py
@@ -24,6 +24,7 @@
     "end",
     "vacated",
     "missing",
+    "voters",
     "grant",
     "moved",
 )
--- a/azurelanding/worker_holds.py
+++ b/azurelanding/worker_holds.py
@@ -23,6 +23,10 @@
 
 logger = structlog.get_logger()
 
+UNCONFIRMED_HOLD_WAIT_SECONDS = HOLD_WAIT_SECONDS / 2
+"""Longest wait of a ``hold`` call without a membership: the permission to extend leases
+then needs reports that were requested lately."""
+
 
 async def follow(link):
     """Extend the lease and read the reports until the worker has ended."""
@@ -62,8 +66,11 @@
 
 def _next_wait(link):
     """Return how long the next ``hold`` call may wait at the worker, in seconds."""
-    is_quick = link.clock is None or link.last_hold_failed or link.ends
-    return 0.0 if is_quick else HOLD_WAIT_SECONDS
+    if link.clock is None or link.last_hold_failed or link.ends:
+        return 0.0
+    if link.controller.permission.member.is_valid:
+        return HOLD_WAIT_SECONDS
+    return UNCONFIRMED_HOLD_WAIT_SECONDS
 
 
 async def hold(link, client, wait):
@@ -120,6 +127,15 @@
     link.last_hold_failed = link.may_have_restarted = True
 
 
+def _record_answer(link, report, sent_at):
+    """Record who may extend leases now that the worker has answered."""
+    link.controller.permission.record_report(link.entry.id, report.born, sent_at)
+    link.controller.succession.record_answer(link.entry.id)
+    if not link.has_answered:
+        # An earlier controller may have extended the lease until now.
+        link.leased_until = max(link.leased_until, boot_time() + link.longest_lease)
+
+
 def apply_report(link, report, sent_at):
     """Apply a report that was requested at ``sent_at``."""
     if report.born != link.born:
@@ -129,7 +145,7 @@
     if link.last_hold_failed:
         silent = round_seconds(boot_time() - link.silent_since)
         logger.info("worker answers again", worker=link.entry.id, silent=silent)
-    link.controller.permission.record_report(link.entry.id)
+    _record_answer(link, report, sent_at)
     link.clock = (report.clock, boot_time())
     link.last_report_at = boot_time()
     link.last_hold_failed = link.may_have_restarted = False
--- a/azurelanding/worker_link.py
+++ b/azurelanding/worker_link.py
@@ -12,7 +12,7 @@
 import structlog
 
 from azurelanding.answer_timeout import AnswerTimeout
-from azurelanding.lease_permission import LeasePermission
+from azurelanding.lease_permission import LeasePermission, LeaseSuccession
 from azurelanding.link_watch import LinkWatch
 from azurelanding.order_queue import OrderQueue
 from azurelanding.utils import Notifier, boot_time
@@ -44,8 +44,6 @@
 """How much slower a worker's clock may run than the daemon's, as a share."""
 LEASE_SLACK_SECONDS = 0.3
 """Added to a lease for the latency of the last call that extended it."""
-TAKEOVER_SLACK_SECONDS = 2.0
-"""How long a superseded controller may still extend a worker's lease."""
 SLOW_START_SECONDS = 0.3
 """Age from which an unanswered start shows that its worker is slow. As many such starts
 as there are order connections delay all further ones."""
@@ -68,8 +66,8 @@
     ``record_begin(task_id, run)`` is called when the worker has told that it has begun
     a run. ``charge_repeat(order)`` charges the budget for an unanswered start that
     is to be sent again, and returns the seconds to wait before. ``watch`` is the
-    ``LinkWatch`` of the pool and ``permission`` the ``LeasePermission`` of its
-    controller.
+    ``LinkWatch`` of the pool, ``permission`` the ``LeasePermission`` of its controller
+    and ``succession`` its ``LeaseSuccession``.
     """
 
     make_client: Callable
@@ -82,6 +80,7 @@
     is_leaving: Callable
     watch: LinkWatch
     permission: LeasePermission
+    succession: LeaseSuccession
 
 
 class WorkerLink:
@@ -109,7 +108,7 @@
     - ``clock`` is the time of the worker's clock in the last report, with the
       ``boot_time`` at which it was received.
     - ``leased_until`` is the ``boot_time`` after which nothing runs on the worker
-      unless its lease is extended again.
+      unless its lease is extended again, by this controller or an earlier one.
     - ``has_answered`` is set once the worker answered under this epoch.
     - ``last_hold_failed`` is set from an unanswered or overdue ``hold`` call to the
       next report.
@@ -165,8 +164,7 @@
         self.late_start_logged_at = None
         self.last_report_at = None
         self.clock = None
-        longest = controller.lease * (1 + CLOCK_DRIFT_SHARE) + TAKEOVER_SLACK_SECONDS
-        self.leased_until = boot_time() + longest
+        self.leased_until = boot_time() + self.longest_lease
         self.signs_of_end = ()
         self.end_seen_at = None
         self.no_starts_until = 0.0
@@ -180,6 +178,21 @@
             self.last_report_at is None or boot_time() > self.last_report_at + silence
         )
 
+    @property
+    def longest_lease(self):
+        """Return how long in seconds a lease lasts that was extended just now."""
+        return self.controller.lease * (1 + CLOCK_DRIFT_SHARE) + LEASE_SLACK_SECONDS
+
+    def is_lease_over(self, now):
+        """Return whether the worker's lease is certainly over at ``now``.
+
+        Until the worker has answered, an earlier controller may have extended it.
+        """
+        if self.has_answered:
+            return now > self.leased_until
+        extensions_end_at = self.controller.succession.extensions_end_at()
+        return now > max(self.leased_until, extensions_end_at + self.longest_lease)
+
     def is_overdue(self, now):
         """Return whether a report is overdue at ``now``, a ``boot_time``."""
         limit = HOLD_WAIT_SECONDS + REPORT_DELAY_SECONDS
@@ -212,12 +225,7 @@
     def extend_leased_until(self):
         """Update ``leased_until`` before a call that extends the lease is sent."""
         if self._may_extend_lease():
-            end = (
-                boot_time()
-                + self.controller.lease * (1 + CLOCK_DRIFT_SHARE)
-                + LEASE_SLACK_SECONDS
-            )
-            self.leased_until = max(self.leased_until, end)
+            self.leased_until = max(self.leased_until, boot_time() + self.longest_lease)
 
     def report_age(self, now):
         """Return the seconds since the last report at ``now``, or ``None``."""
