Let a decision visit what may start, not all occurrences of a job

After one accepted job with 100,000 times due, small jobs of another queue stand for more than 3 s, and each answer takes over a second.

Cause: each decision of a pool's controller went through all occurrences that were due, in the sort of jobs by their needs, in the list of ready steps and in their sort by urgency, for longer than a membership lasts. The demand of pools and of accounts did so too, and the copy, the end and the sum of done tasks of a job grew with the tasks that were done.

Change: StepProgress keeps by step the occurrences that may start as ranges, and how many earlier steps are not done, as each task changes. A pass looks at the 32 most urgent occurrences of a step, found by the bounds of what is in time, and the next pass follows at once. A step that no worker has room for is searched once a pass. Copies share what is large; the tasks of an ended job are handed over to be dropped.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 BENCHES = cost flood-telar flood-magnolia retries outcomes claims-faults claims-cost \
 	silence configuration takeover capacity maintenance leaving placement \
 	placement_faults control_cost slopes_log slopes_rules slopes_host_list \
-	slopes_placement slopes_maintenance
+	slopes_placement slopes_maintenance slopes_jobs
 
 bench: $(addprefix bench-,$(BENCHES))
 
--- a/azurelanding/account_divider.py
+++ b/azurelanding/account_divider.py
@@ -17,7 +17,6 @@
 from azurelanding.appender import Appender, NotStoredError, OutcomeUnknownError
 from azurelanding.fleet_controller import TOPIC
 from azurelanding.fleet_records import encode_record
-from azurelanding.job_placement import due_steps
 from azurelanding.store import Producer, StoreError, stored_records
 from azurelanding.tasks import Resources
 
@@ -46,8 +45,12 @@
         used = Resources() if usage is None else usage.resources()
         needs, largest, since = [], Resources(), float("inf")
         for state in waiting.get(account, {}).values():
-            for occurrence, number, step in due_steps(state, now):
-                count = state.count_waiting(occurrence, number)
+            progress, due_count = state.progress, state.job.count_due(now)
+            for number in () if state.is_over else progress.open_numbers():
+                step = state.job.steps[number]
+                count = progress.count_open_waiting(number, 0, due_count)
+                if not count:
+                    continue
                 unit = step.count if step.gang else 1
                 needs.append(account_limits.scale(step.need, count))
                 largest = account_limits.combine(
--- a/azurelanding/job_draft.py
+++ b/azurelanding/job_draft.py
@@ -8,7 +8,6 @@
 import itertools
 
 from azurelanding.job_records import encode_drop, encode_record
-from azurelanding.jobs import objective
 from azurelanding.ledger import JobEnded, TaskChanged
 from azurelanding.pool_jobs import AccountUsage, sum_usage
 
@@ -129,9 +128,9 @@
 
     def end_job(self, job_id, outcome, now):
         """End a job, which drops the records of its tasks and of its work."""
-        for task_id, task in self.job(job_id).tasks.items():
+        for task_id, task in self.job(job_id).in_progress.items():
             self._unplace(task_id, task)
-        self.objectives[job_id] = objective(self.ledger.active[job_id].job)
+        self.objectives[job_id] = self.ledger.active[job_id].objective
         self.ended[job_id] = JobEnded(job_id, outcome, now)
 
     def drop_job(self, job_id):
--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -106,7 +106,7 @@
 
     These are all runs of a job that is over, otherwise the runs of tasks that are done.
     """
-    tasks = state.tasks if state.is_over else state.overdone
+    tasks = state.in_progress if state.is_over else state.overdone
     for task_id, task in tasks.items():
         for run, worker in task.active.items():
             yield task_id, run, worker
--- a/azurelanding/job_placement.py
+++ b/azurelanding/job_placement.py
@@ -11,11 +11,13 @@
 
 import attrs
 
-from azurelanding.jobs import longest_chain, objective
 from azurelanding.tasks import Resources
 
 WORTHLESS_FACTOR = 3.0
 """Multiple of its objective after which a job's result has no value to its caller."""
+MAX_READY_OCCURRENCES = 32
+"""Limit on the occurrences of a job of which one pass looks at a step. They are the
+most urgent; what more of them may start follows in the next pass."""
 EPSILON_CORES = 1e-6
 """Tolerance for rounding errors in sums of cores."""
 
@@ -82,6 +84,15 @@
         """Return the ``Step``."""
         return self.state.job.steps[self.number]
 
+    @property
+    def has_more_occurrences(self):
+        """Return whether the step may start in more occurrences than a pass looks at.
+
+        Some of them may not be due yet.
+        """
+        occurrences = self.state.progress.open_occurrences(self.number)
+        return len(occurrences) > MAX_READY_OCCURRENCES
+
     @property
     def key(self):
         """Return the job id, the occurrence and the number of the step."""
@@ -127,45 +138,70 @@
     return tuple(itertools.islice(startable, None if is_gang else limit))
 
 
-def _accept_all(_occurrence, _step):
+def _accept_all(_step):
     return True
 
 
-def due_steps(state, now):
-    """Yield the occurrence, the number and the ``Step`` of what may start at ``now``.
+def _by_urgency(state, number, now):
+    """Yield the occurrences of which tasks of a step may start, the most urgent first.
 
-    ``now`` is in seconds since the epoch.
+    Occurrences are due in their order. So those that can still be in time follow all
+    others, and those that can only be late follow the worthless ones. For this only
+    the chain of steps that begins with this one counts.
     """
-    if state.is_over:
+    job, occurrences = state.job, state.progress.open_occurrences(number)
+    due_count = job.count_due(now)
+    if job.occurrences == 1 or job.is_long_running:
+        yield from occurrences.between(0, due_count)
         return
-    job = state.job
-    for occurrence in range(job.occurrences):
-        if job.due_at(occurrence) > now:
-            return
-        for number, step in enumerate(job.steps):
-            if state.may_start(occurrence, number):
-                yield occurrence, number, step
+    ends_at, objective = now + state.progress.plan.tails[number], state.objective
+    in_time_from = min(due_count, job.first_due_from(ends_at - objective))
+    late_from = job.first_due_from(ends_at - WORTHLESS_FACTOR * objective)
+    late_from = min(in_time_from, late_from)
+    yield from occurrences.between(in_time_from, due_count)
+    yield from occurrences.between(late_from, in_time_from)
+    yield from occurrences.between(0, late_from)
 
 
 def ready_steps(state, now, is_backing_off, accepts=_accept_all, limit=None):
     """Yield the ``ReadyStep``s of a job at ``now``, in seconds since the epoch.
 
     ``is_backing_off(task_id)`` returns whether a task still waits for its backoff after
-    a refused start. A step is left out if ``accepts(occurrence, step)`` is false, which
-    is less work than to leave out its ``ReadyStep``. No more than ``limit`` tasks of a
-    step are listed, but all of a gang, which starts as a whole.
+    a refused start. A step is left out if ``accepts(step)`` is false. No more than
+    ``limit`` tasks of a step are listed, but all of a gang, which starts as a whole. Of
+    each step the most urgent ``MAX_READY_OCCURRENCES`` are looked at.
     """
-    for occurrence, number, step in due_steps(state, now):
-        if not accepts(occurrence, step):
+    if state.is_over:
+        return
+    for number in state.progress.open_numbers():
+        if not accepts(state.job.steps[number]):
             continue
-        tasks = _startable(state, occurrence, number, is_backing_off, limit)
-        if tasks:
-            yield ReadyStep(state, occurrence, number, tasks)
+        occurrences = _by_urgency(state, number, now)
+        left = limit
+        for occurrence in itertools.islice(occurrences, MAX_READY_OCCURRENCES):
+            tasks = _startable(state, occurrence, number, is_backing_off, left)
+            if tasks:
+                yield ReadyStep(state, occurrence, number, tasks)
+            if left is not None:
+                left -= len(tasks)
+                if left <= 0:
+                    break
+
+
+def count_ready(state, now):
+    """Return how many tasks of a job may start at ``now``."""
+    if state.is_over:
+        return 0
+    due_count, progress = state.job.count_due(now), state.progress
+    return sum(
+        progress.count_open_waiting(number, 0, due_count)
+        for number in progress.open_numbers()
+    )
 
 
-def deadline(job, occurrence):
+def deadline(state, occurrence):
     """Return when an occurrence becomes late, in seconds since the epoch."""
-    return job.due_at(occurrence) + objective(job)
+    return state.job.due_at(occurrence) + state.objective
 
 
 class Timeliness(enum.IntEnum):
@@ -182,11 +218,11 @@
     job = state.job
     if job.is_long_running:
         return Timeliness.LONG_RUNNING
-    due_at, late_at = job.due_at(occurrence), deadline(job, occurrence)
-    remaining = longest_chain(job, lambda n: state.step_is_done(occurrence, n))
-    if now + remaining <= late_at:
+    due_at, late_at = job.due_at(occurrence), deadline(state, occurrence)
+    ends_at = now + state.progress.chain_left(occurrence)
+    if ends_at <= late_at:
         return Timeliness.IN_TIME
-    if now + remaining <= due_at + WORTHLESS_FACTOR * (late_at - due_at):
+    if ends_at <= due_at + WORTHLESS_FACTOR * (late_at - due_at):
         return Timeliness.LATE
     return Timeliness.WORTHLESS
 
@@ -197,7 +233,7 @@
     timing = timeliness(ready.state, ready.occurrence, now)
     if timing is Timeliness.LONG_RUNNING:
         return job.priority, timing, job.submitted_at, ready.number
-    late_at = deadline(job, ready.occurrence)
+    late_at = deadline(ready.state, ready.occurrence)
     return job.priority, timing, late_at, ready.number
 
 
--- a/azurelanding/job_records.py
+++ b/azurelanding/job_records.py
@@ -61,8 +61,7 @@
 
 def _parse_task_id(name):
     try:
-        job, occurrence, step, index = name.split(".")
-        return TaskId(job, int(occurrence), int(step), int(index))
+        return TaskId.from_name(name)
     except ValueError as error:
         raise JobRecordError(f"not the name of a task: {name!r}") from error
 
--- a/azurelanding/jobs.py
+++ b/azurelanding/jobs.py
@@ -6,9 +6,11 @@
 """
 
 import enum
+import math
 
 import attrs
 
+from azurelanding.step_progress import StepProgress, copy_dict
 from azurelanding.tasks import Resources
 
 MAX_TASKS_PER_JOB = 100_000
@@ -59,6 +61,16 @@
     step: int
     index: int
 
+    @classmethod
+    def from_name(cls, name):
+        """Return the id with a name as ``str`` gives it; raise ``ValueError`` if none.
+
+        >>> TaskId.from_name("5c0e.0.1.17")
+        TaskId(job='5c0e', occurrence=0, step=1, index=17)
+        """
+        job, occurrence, step, index = name.split(".")
+        return cls(job, int(occurrence), int(step), int(index))
+
     def __str__(self):
         return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
 
@@ -132,6 +144,29 @@
             return self.submitted_at
         return self.first_due + occurrence * self.interval
 
+    def first_due_from(self, time):
+        """Return the first occurrence that is due at ``time`` or later.
+
+        ``time`` is in seconds since the epoch. If none is, the number of occurrences is
+        returned.
+        """
+        if self.due_at(0) >= time:
+            return 0
+        if not (self.first_due and self.interval > 0.0):
+            return self.occurrences
+        number = math.ceil((time - self.first_due) / self.interval)
+        number = max(0, min(self.occurrences, number))
+        # The division rounds.
+        if number and self.due_at(number - 1) >= time:
+            number -= 1
+        elif number < self.occurrences and self.due_at(number) < time:
+            number += 1
+        return number
+
+    def count_due(self, now):
+        """Return how many occurrences are due at ``now``, which are the first ones."""
+        return self.first_due_from(math.nextafter(now, math.inf))
+
     @property
     def task_count(self):
         """Return the number of tasks over all occurrences."""
@@ -190,97 +225,110 @@
     """A job and its recorded state.
 
     ``tasks`` holds the tasks for which a start was decided at least once, and ``begun``
-    counts those that have begun. ``done`` counts the finished tasks by occurrence and
-    step, ``taken`` those that are finished or have active runs, and ``failed_tasks``
-    the tasks that have no attempts left.
-    ``running`` counts the tasks with active runs, ``running_by_step`` those of each
-    step; ``overdone`` holds those that are done nevertheless. ``first_waiting`` holds
-    by occurrence and step an index below which all tasks are done or running.
-    ``position`` orders the jobs of a ledger by their acceptance.
+    counts those that have begun. ``progress`` is that of the steps, and
+    ``failed_tasks`` counts the tasks that have no attempts left. ``in_progress`` holds
+    the tasks with active runs, ``running_by_step`` their number by step; ``overdone``
+    holds those that are done nevertheless. ``first_waiting`` holds by occurrence and
+    step an index below which all tasks are done or running. ``position`` orders the
+    jobs of a ledger by their acceptance.
     """
 
     job: Job
     tasks: dict[TaskId, TaskState] = attrs.field(factory=dict)
-    done: dict[tuple[int, int], int] = attrs.field(factory=dict)
+    progress: StepProgress = attrs.field()
     cancelled_at: float | None = None
     outcome: JobOutcome | None = None
     ended_at: float = 0.0
     begun: int = 0
     failed_tasks: int = 0
-    taken: dict[tuple[int, int], int] = attrs.field(factory=dict)
-    running: int = 0
+    in_progress: dict[TaskId, TaskState] = attrs.field(factory=dict)
     running_by_step: dict[int, int] = attrs.field(factory=dict)
     overdone: dict[TaskId, TaskState] = attrs.field(factory=dict)
     first_waiting: dict[tuple[int, int], int] = attrs.field(factory=dict)
     position: int = 0
 
+    @progress.default
+    def _make_progress(self):
+        return StepProgress.from_steps(self.job.steps, self.job.occurrences)
+
     def copy(self):
-        """Return a copy, of which tasks can be replaced."""
+        """Return a copy, of which tasks can be replaced.
+
+        This one must not change while the copy is in use. The cost of a copy doesn't
+        grow with the tasks that are done.
+        """
         return attrs.evolve(
             self,
-            tasks=dict(self.tasks),
-            done=dict(self.done),
-            taken=dict(self.taken),
+            tasks=copy_dict(self.tasks),
+            progress=self.progress.copy(),
+            in_progress=dict(self.in_progress),
             running_by_step=dict(self.running_by_step),
             overdone=dict(self.overdone),
-            first_waiting=dict(self.first_waiting),
+            first_waiting=copy_dict(self.first_waiting),
         )
 
+    def set_work(self, spec, steps):
+        """Set the work of a job that was known without it, and that has not begun."""
+        self.job = attrs.evolve(self.job, spec=spec, steps=steps)
+        self.progress = self._make_progress()
+
     def task(self, task_id):
         """Return the ``TaskState`` of a task, which must not be changed."""
         return self.tasks.get(task_id, UNSTARTED_TASK)
 
     def set_task(self, task_id, state):
         """Replace the state of one task."""
-        self._count(task_id, self.task(task_id), -1)
-        self._count(task_id, state, 1)
+        known = self.task(task_id)
+        self._count(task_id, known, state)
         self.tasks[task_id] = state
         if not (state.is_done or state.active):
             key = (task_id.occurrence, task_id.step)
-            known = self.first_waiting.get(key, 0)
-            self.first_waiting[key] = min(known, task_id.index)
-        if state.is_done and state.active:
-            self.overdone[task_id] = state
-        else:
-            self.overdone.pop(task_id, None)
-
-    def _count(self, task_id, state, sign):
-        key, is_running = (task_id.occurrence, task_id.step), bool(state.active)
-        self.begun += sign * state.has_begun
-        self.failed_tasks += sign * self._has_failed(state, task_id.step)
-        self.done[key] = self.done.get(key, 0) + sign * state.is_done
-        is_taken = state.is_done or is_running
-        self.taken[key] = self.taken.get(key, 0) + sign * is_taken
-        self.running += sign * is_running
-        running = self.running_by_step.get(task_id.step, 0) + sign * is_running
-        self.running_by_step[task_id.step] = running
-
-    def drop_tasks(self):
-        """Drop the states of the tasks of a job that has ended."""
-        self.tasks, self.taken, self.overdone = {}, {}, {}
-        self.running, self.running_by_step, self.first_waiting = 0, {}, {}
+            first = self.first_waiting.get(key, 0)
+            self.first_waiting[key] = min(first, task_id.index)
+        _set_member(self.in_progress, task_id, state, bool(state.active))
+        _set_member(self.overdone, task_id, state, state.is_done and state.active)
+
+    def _count(self, task_id, known, state):
+        """Count what changes when the state of a task becomes another one."""
+        number = task_id.step
+        self.begun += state.has_begun - known.has_begun
+        if state.failures or known.failures:
+            failed = self._has_failed(state, number) - self._has_failed(known, number)
+            self.failed_tasks += failed
+        was_running, is_running = bool(known.active), bool(state.active)
+        if is_running != was_running:
+            running = self.running_by_step.get(number, 0)
+            self.running_by_step[number] = running + is_running - was_running
+        taken = (state.is_done or is_running) - (known.is_done or was_running)
+        done = state.is_done - known.is_done
+        self.progress.count(task_id.occurrence, number, taken, done)
+
+    def end(self, outcome, ended_at):
+        """End the job, and drop its work; return its tasks."""
+        self.outcome, self.ended_at = outcome, ended_at
+        tasks, self.tasks = self.tasks, {}
+        self.in_progress, self.overdone = {}, {}
+        self.running_by_step, self.first_waiting = {}, {}
+        self.job = attrs.evolve(self.job, spec="", steps=())
+        total_done, self.progress = self.progress.total_done, self._make_progress()
+        self.progress.total_done = total_done
+        return tasks
+
+    @property
+    def running(self):
+        """Return the number of tasks with active runs."""
+        return len(self.in_progress)
+
+    @property
+    def objective(self):
+        """Return the seconds after its due time in which an occurrence must end."""
+        return self.job.stretch * self.progress.plan.chain + self.job.target_duration
 
     def _has_failed(self, task, number):
         if self.job.steps[number].long_running or task.is_done:
             return False
         return task.failures >= self.job.max_attempts
 
-    def step_is_done(self, occurrence, number):
-        """Return whether all tasks of a step of an occurrence are done."""
-        return self.done.get((occurrence, number), 0) >= self.job.steps[number].count
-
-    def may_start(self, occurrence, number):
-        """Return whether tasks of a step may start, once its occurrence is due."""
-        step = self.job.steps[number]
-        if self.count_waiting(occurrence, number) <= 0:
-            return False
-        return all(self.step_is_done(occurrence, earlier) for earlier in step.after)
-
-    def count_waiting(self, occurrence, number):
-        """Return how many tasks of a step are neither done nor running."""
-        step = self.job.steps[number]
-        return step.count - self.taken.get((occurrence, number), 0)
-
     def waiting_tasks(self, occurrence, number):
         """Yield the ids of the tasks of a step that are neither done nor running.
 
@@ -306,13 +354,10 @@
         )
 
     def startable_steps(self):
-        """Yield each step that ``may_start``, over all occurrences."""
-        if self.is_over:
-            return
-        for occurrence in range(self.job.occurrences):
-            for number, step in enumerate(self.job.steps):
-                if self.may_start(occurrence, number):
-                    yield step
+        """Yield each step of which tasks may start in an occurrence, once it is due."""
+        if not self.is_over:
+            for number in self.progress.open_numbers():
+                yield self.job.steps[number]
 
     @property
     def is_over(self):
@@ -348,7 +393,7 @@
 
     def all_done(self):
         """Return whether every task of every occurrence is done."""
-        return sum(self.done.values()) >= self.job.task_count
+        return self.progress.total_done >= self.job.task_count
 
 
 def task_ids(job_id, occurrence, number, step):
@@ -357,18 +402,8 @@
         yield TaskId(job_id, occurrence, number, index)
 
 
-def objective(job):
-    """Return the seconds after its due time in which an occurrence must complete."""
-    return job.stretch * longest_chain(job) + job.target_duration
-
-
-def longest_chain(job, is_done=lambda number: False):
-    """Return the estimated duration of the longest chain of steps, in seconds.
-
-    Uses the caller's estimates. Steps for which ``is_done(number)`` is true count as 0.
-    """
-    ends = []
-    for number, step in enumerate(job.steps):
-        start = max((ends[earlier] for earlier in step.after), default=0.0)
-        ends.append(start + (0.0 if is_done(number) else step.estimate))
-    return max(ends, default=0.0)
+def _set_member(tasks, task_id, state, is_member):
+    if is_member:
+        tasks[task_id] = state
+    else:
+        tasks.pop(task_id, None)
--- a/azurelanding/ledger.py
+++ b/azurelanding/ledger.py
@@ -161,9 +161,9 @@
     ``pools`` holds the ``PoolJobs`` of each pool, ``positions`` the next
     ``JobState.position``, and ``placed_versions`` changes with the runs in ``placed``
     on each worker. ``unstarted`` maps each queue to its jobs that have started no task
-    and may start some. ``ended_tasks`` maps ended jobs to the names of the tasks whose
-    records are still stored. ``early_cancellations`` holds the ``JobCancelled`` of jobs
-    that are not known: a submission that is stored after it starts nothing.
+    and may start some. ``ended_tasks`` maps ended jobs to the tasks whose records are
+    still stored. ``early_cancellations`` holds the ``JobCancelled`` of jobs that are
+    not known: a submission that is stored after it starts nothing.
     ``adopted`` maps pairs of a pool and an account to the version of the account's
     division that the controller of the pool keeps to. ``moved`` maps queues that have
     left the partition's pools to the version of the configuration with which they last
@@ -287,7 +287,7 @@
         if job_id in self.active or state.outcome is not None:
             return
         if work is not None:
-            state.job = attrs.evolve(state.job, spec=work.spec, steps=work.steps)
+            state.set_work(work.spec, work.steps)
         if work is not None or state.job.steps:
             state.position = next(self.positions)
             self.active[job_id] = state
@@ -306,9 +306,9 @@
         state = self.active.pop(job_id, None)
         if state is not None:
             pool = self.pools[state.job.pool]
-            for task_id, task in state.tasks.items():
+            for task_id, task in state.in_progress.items():
                 self._index_runs(pool, state.job, task_id, task, -1)
-            self.pools[state.job.pool].remove(job_id)
+            pool.remove(job_id)
             self.unstarted[state.job.queue].discard(job_id)
 
     def _cancel(self, record):
@@ -323,7 +323,7 @@
     def _set_task(self, record):
         state = self.active.get(record.task.job)
         if state is None:
-            self._note_ended_tasks(record.task.job, (record.task,))
+            self._note_ended_task(record.task)
             return
         if not state.job.has_task(record.task):
             raise StoredRecordError(f"job has no task {record.task}")
@@ -352,16 +352,14 @@
         state = self.jobs[record.job]
         if state.outcome is not None:
             return
-        state.outcome, state.ended_at = record.outcome, record.at
         self._remove(record.job)
-        self._note_ended_tasks(record.job, state.tasks)
-        state.drop_tasks()
-        state.job = attrs.evolve(state.job, spec="", steps=())
+        tasks = state.end(record.outcome, record.at)
+        if tasks:
+            # There may be very many, so they are not copied.
+            self.ended_tasks[record.job] = tasks
 
-    def _note_ended_tasks(self, job_id, task_ids):
-        if task_ids:
-            names = self.ended_tasks.setdefault(job_id, {})
-            names.update((str(task_id), None) for task_id in task_ids)
+    def _note_ended_task(self, task_id):
+        self.ended_tasks.setdefault(task_id.job, {})[task_id] = None
 
     def _drop(self, key):
         kind, name = key
@@ -389,12 +387,15 @@
             self.apply(record_key(record), record, offset)
 
     def _drop_ended_task(self, name):
-        job_id = name.partition(".")[0]
-        names = self.ended_tasks.get(job_id)
-        if names is not None:
-            names.pop(name, None)
-            if not names:
-                del self.ended_tasks[job_id]
+        try:
+            task_id = TaskId.from_name(name)
+        except ValueError:
+            return
+        tasks = self.ended_tasks.get(task_id.job)
+        if tasks is not None:
+            tasks.pop(task_id, None)
+            if not tasks:
+                del self.ended_tasks[task_id.job]
 
     def jobs_of(self, pool):
         """Return the ``PoolJobs`` of a pool, with all its jobs sorted."""
@@ -413,9 +414,9 @@
 
     def ended_tasks_of(self, pool):
         """Yield the names of the stored tasks of ended jobs of a pool."""
-        for job_id, names in self.ended_tasks.items():
+        for job_id, tasks in self.ended_tasks.items():
             if self.jobs[job_id].job.pool == pool:
-                yield from names
+                yield from map(str, tasks)
 
     def pools_with_ended_tasks(self):
         """Return the names of the pools with stored tasks of ended jobs."""
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -364,24 +364,14 @@
             return []
         now = time.time()
         bounds = job_placement.FreeBounds(free_capacity.values())
-        ready_steps = [
-            ready
-            for state in draft.startable_jobs(bounds.may_fit)
-            if self.late_submissions.may_start(state)
-            for ready in job_placement.ready_steps(
-                state,
-                now,
-                self._is_backing_off,
-                lambda _occurrence, step: bounds.may_fit(step.need, step.fills),
-                MAX_UNANSWERED_STARTS_COUNT,
-            )
-        ]
+        ready_steps = self._ready_steps(draft, bounds, now)
         shares = self.accounts.shares(draft, free_capacity.values())
-        starts, tightened_after = [], 0
+        starts, tightened_after, full_steps = [], 0, set()
         for ready, share_limit in account_shares.in_turn(
             ready_steps, lambda ready: job_placement.urgency(ready, now), shares
         ):
-            if not bounds.may_fit(ready.step.need, ready.step.fills):
+            is_full = (ready.state.job.id, ready.number) in full_steps
+            if is_full or not bounds.may_fit(ready.step.need, ready.step.fills):
                 continue
             account_limit = min(share_limit, self.accounts.task_limit(draft, ready))
             waiting = job_placement.without_placed(ready, draft)
@@ -392,24 +382,53 @@
             )
             if not limit or len(starts) >= room:
                 break
-            usable_workers = self.permits.usable_workers(
-                ready, free_capacity, self.wake
-            )
             limit = min(limit, room - len(starts), account_limit)
-            placed_tasks = job_placement.place(waiting, usable_workers, limit)
-            shares.charge(ready, len(placed_tasks))
-            for placed in placed_tasks:
-                starts.append(self._start(draft, ready, placed))
-                self._count_start(starts[-1][1])
-            if len(placed_tasks) < len(waiting.tasks) and len(starts) > tightened_after:
+            placed = self._place_step(draft, ready, waiting, free_capacity, limit)
+            starts.extend(placed)
+            shares.charge(ready, len(placed))
+            if len(placed) < len(waiting.tasks) and len(starts) > tightened_after:
                 bounds.tighten()
                 tightened_after = len(starts)
+            if len(placed) < min(len(waiting.tasks), limit):
+                self._note_full_step(ready, full_steps)
+            elif ready.has_more_occurrences:
+                draft.is_cut = True
         self.waits_for_answers = len(starts) >= room
         left = sum(len(ready.tasks) for ready in ready_steps) - len(starts)
         is_spent = not self.start_budget.affordable(self, 1, boot_time())
         self._record_held_back(left if is_spent else 0)
         return starts
 
+    def _ready_steps(self, draft, bounds, now):
+        """Return the steps that may start now and that workers may have room for."""
+        return [
+            ready
+            for state in draft.startable_jobs(bounds.may_fit)
+            if self.late_submissions.may_start(state)
+            for ready in job_placement.ready_steps(
+                state,
+                now,
+                self._is_backing_off,
+                lambda step: bounds.may_fit(step.need, step.fills),
+                MAX_UNANSWERED_STARTS_COUNT,
+            )
+        ]
+
+    def _place_step(self, draft, ready, waiting, free_capacity, limit):
+        """Place up to ``limit`` tasks of a step, as ``_place`` does."""
+        usable_workers = self.permits.usable_workers(ready, free_capacity, self.wake)
+        starts = []
+        for placed in job_placement.place(waiting, usable_workers, limit):
+            starts.append(self._start(draft, ready, placed))
+            self._count_start(starts[-1][1])
+        return starts
+
+    def _note_full_step(self, ready, full_steps):
+        """Note a step that no worker has room for, also not in other occurrences."""
+        job = ready.state.job
+        if not ready.step.per_worker and self.permits.find_advice(job.queue) is None:
+            full_steps.add((job.id, ready.number))
+
     def _record_held_back(self, count):
         """Note how many ready tasks the budget holds back."""
         now = boot_time()
--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -10,8 +10,7 @@
 
 from azurelanding.fleet_records import HostPlan
 from azurelanding.fleet_workers import HostPhase
-from azurelanding.job_placement import Timeliness, due_steps, timeliness
-from azurelanding.jobs import longest_chain
+from azurelanding.job_placement import Timeliness, timeliness
 
 MIN_HOSTS_SHARE = 0.5
 """Minimum size of a pool in use, as a share of an even split of all hosts over all
@@ -34,11 +33,30 @@
 """Time that a surplus must last before the pool returns a host to standby."""
 
 
-def _is_worth_hosts(state, now, occurrence, step):
-    """Return whether hosts are added for the tasks of a step that is ready."""
-    if step.fills:
-        return False
-    return timeliness(state, occurrence, now) in TIMELINESS_WORTH_HOSTS
+def _first_worth_hosts(state, number, now, due_count):
+    """Return the first due occurrence for which hosts are added.
+
+    Those that are due later can be in time too.
+    """
+    if state.job.occurrences == 1:
+        is_worth = timeliness(state, 0, now) in TIMELINESS_WORTH_HOSTS
+        return 0 if is_worth else due_count
+    if state.job.is_long_running:
+        return 0
+    ends_at = now + state.progress.plan.tails[number]
+    return min(due_count, state.job.first_due_from(ends_at - state.objective))
+
+
+def _waiting_cores(state, now):
+    """Return the cores that the tasks want that may start and can be in time."""
+    due_count, cores = state.job.count_due(now), 0.0
+    for number in state.progress.open_numbers():
+        step = state.job.steps[number]
+        if due_count and not step.fills:
+            first = _first_worth_hosts(state, number, now, due_count)
+            count = state.progress.count_open_waiting(number, first, due_count)
+            cores += step.need.cores * count
+    return cores
 
 
 def wanted_cores(states, now):
@@ -50,10 +68,7 @@
     for state in states:
         if state.is_over:
             continue
-        cores += state.running_cores()
-        for occurrence, number, step in due_steps(state, now):
-            if _is_worth_hosts(state, now, occurrence, step):
-                cores += step.need.cores * state.count_waiting(occurrence, number)
+        cores += state.running_cores() + _waiting_cores(state, now)
         for step in state.job.steps:
             if step.per_worker and step.long_running:
                 min_workers = max(min_workers, math.ceil(step.count / step.per_worker))
@@ -68,7 +83,7 @@
     up, only the part within that time counts. ``states`` are ``lag`` seconds old.
     """
     recent = [
-        state.job
+        state
         for state in states
         if not state.job.is_long_running
         and not state.job.first_due
@@ -79,13 +94,13 @@
     return sum(map(_work_within_horizon, recent)) / ARRIVAL_WINDOW_SECONDS
 
 
-def _work_within_horizon(job):
+def _work_within_horizon(state):
     work = sum(
         step.count * step.need.cores * step.estimate
-        for step in job.steps
+        for step in state.job.steps
         if not step.fills
     )
-    return work * HORIZON_SECONDS / max(longest_chain(job), HORIZON_SECONDS)
+    return work * HORIZON_SECONDS / max(state.progress.plan.chain, HORIZON_SECONDS)
 
 
 def long_running_cores(states):
--- a/azurelanding/site_report.py
+++ b/azurelanding/site_report.py
@@ -6,7 +6,7 @@
 from azurelanding.fleet_controller import TOPIC as FLEET_TOPIC
 from azurelanding.fleet_fold import FleetFold
 from azurelanding.fleet_workers import WorkerRegistry
-from azurelanding.job_placement import ready_steps
+from azurelanding.job_placement import count_ready
 from azurelanding.ledger import Ledger
 from azurelanding.membership import CONTROL_GROUP, FLEET_GROUP, partition_of
 from azurelanding.record_faults import RecordFaults
@@ -110,7 +110,7 @@
                 pool,
                 _controller(state, pool),
                 len(state.registry.in_pool(pool)),
-                sum(len(task.active) for job in jobs for task in job.tasks.values()),
+                sum(len(t.active) for job in jobs for t in job.in_progress.values()),
                 len(jobs),
                 sum(not job.begun and not job.is_over for job in jobs),
             )
@@ -128,7 +128,7 @@
         return "its last runs to end"
     if job.job.due_at(0) > now:
         return f"its time, in {job.job.due_at(0) - now:.1f} s"
-    ready = sum(len(step.tasks) for step in ready_steps(job, now, lambda task: False))
+    ready = count_ready(job, now)
     return f"room for {ready} tasks" if ready else ""
 
 
@@ -143,7 +143,7 @@
             continue
         running = {
             str(task_id): worker
-            for task_id, task in job.tasks.items()
+            for task_id, task in job.in_progress.items()
             for worker in task.active.values()
         }
         return JobReport(
@@ -151,7 +151,7 @@
             job.job.queue,
             job.job.pool,
             job.phase.value,
-            sum(job.done.values()),
+            job.progress.total_done,
             job.job.task_count,
             running,
             _wait_reason(state, job, now),
--- a/azurelanding/tests/test_job_placement.py
+++ b/azurelanding/tests/test_job_placement.py
@@ -46,7 +46,7 @@
     def test_occurrence_is_not_ready_before_it_is_due(self):
         job = make_job(occurrences=3, first_due=10.0, interval=5.0)
         self.assertEqual([], ready(job, now=9.99))
-        self.assertEqual([0, 1], [r.occurrence for r in ready(job, now=15.0)])
+        self.assertEqual([0, 1], sorted(r.occurrence for r in ready(job, now=15.0)))
 
     def test_running_task_is_not_ready(self):
         job = make_job(steps=(make_step(2),))
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -8,12 +8,19 @@
 import testtools
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from testtools.matchers import LessThan
-
-from azurelanding import job_ends, job_placement, lost_runs, worker_holds
+from testtools.matchers import GreaterThan, LessThan
+
+from azurelanding import (
+    account_divider,
+    job_ends,
+    job_placement,
+    lost_runs,
+    pool_sizes,
+    worker_holds,
+)
 from azurelanding.configuration import Configuration
 from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
-from azurelanding.jobs import JobOutcome, RunEnd, TaskId, TaskState, task_ids
+from azurelanding.jobs import Job, JobOutcome, RunEnd, TaskId, TaskState, task_ids
 from azurelanding.ledger import (
     JobCancelled,
     JobEnded,
@@ -519,6 +526,73 @@
         self.assertEqual(set(), self.ledger.pools_with_ended_tasks())
 
 
+class ScheduledJobTest(testtools.TestCase):
+    """A job with very many occurrences due, beside a small one.
+
+    Each decision looked at all of them, longer than a membership lasts, and so did that
+    of the next controller; other jobs stood still (review/12).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.controller = anyio.run(make_controller, ["v", "w"], [])
+        self.controller.stream.deferred.hold()
+        self.controller.permits.find_advice = lambda queue: None
+        self.patch(self.controller, "_store", self.store)
+        self.ledger, self.end, self.looks = self.controller.ledger, 0, 0
+        self.patch(Job, "due_at", self.count_looks(Job.due_at))
+
+    def count_looks(self, due_at):
+        def counted(job, occurrence):
+            self.looks += 1
+            return due_at(job, occurrence)
+
+        return counted
+
+    async def store(self, records):
+        self.controller.stream.apply_appended(records, self.end)
+        self.end += len(records)
+        return True
+
+    def submit(self, job_id, **fields):
+        job = make_job(job_id, (make_step(1, need=Resources(0.001, 1, 0)),), **fields)
+        self.ledger.apply(("job", job.id), JobSubmitted(job), self.end)
+        self.end += 1
+        return self.ledger.active[job.id]
+
+    def run_pass(self):
+        """Run one pass; return how often the due time of an occurrence was needed."""
+        self.looks = 0
+        self.controller.needs_decision = False
+        anyio.run(self.controller._decide)
+        return self.looks
+
+    def test_pass_looks_at_no_more_occurrences_than_may_start(self):
+        scheduled = self.submit(
+            "1" * 16, occurrences=50_000, first_due=1.0, interval=0.5
+        )
+        small = self.submit("2" * 16, priority=1)
+        for _ in range(3):
+            self.assertThat(self.run_pass(), LessThan(MAX_UNANSWERED_STARTS_COUNT * 2))
+        self.assertEqual(1, small.running)
+        self.assertThat(scheduled.running, GreaterThan(1))
+
+    def test_started_occurrences_make_room_for_the_next_ones_at_once(self):
+        count = 2 * job_placement.MAX_READY_OCCURRENCES + 1
+        state = self.submit("1" * 16, occurrences=count, first_due=1.0, interval=0.5)
+        for _ in range(3):
+            self.run_pass()
+        self.assertEqual(count, state.running)
+        self.assertFalse(self.controller.needs_decision)
+
+    def test_demand_of_a_pool_looks_at_few_occurrences(self):
+        state = self.submit("1" * 16, occurrences=50_000, first_due=1.0, interval=0.5)
+        self.looks = 0
+        pool_sizes.wanted_cores([state], 1e9)
+        account_divider.pool_demands(self.ledger, "cuts", 1e9)
+        self.assertThat(self.looks, LessThan(20))
+
+
 class RandomHistoryTest(testtools.TestCase):
     """What is kept, against walks over all jobs and runs."""
 
