Look at the members of a gang once for all starts and all ends

Cause: each start of a member took the highest run over all members, and each end of a member marked all members as done again.

Change: the run number is found once for a gang, and only the first end marks the members.

Tests: test_gang_is_started_and_ended_with_few_looks_at_each_member fails before (1,449,600 looks for 1,200 members, bound 24,000).

--- a/azurelanding/job_ends.py
+++ b/azurelanding/job_ends.py
@@ -18,6 +18,7 @@
     state = draft.job(task_id.job)
     if state is None or run not in state.task(task_id).active:
         return False
+    was_done = state.task(task_id).is_done
     task = _without_run(state.task(task_id), run)
     task.was_reported = True
     step = state.job.steps[task_id.step]
@@ -29,7 +30,7 @@
         task.failures += 1
         task.failed_on = (*task.failed_on, worker)[-MAX_FAILED_WORKERS:]
     draft.set_task(task_id, task)
-    if step.gang and end is RunEnd.DONE:
+    if step.gang and end is RunEnd.DONE and not was_done:
         _finish_gang(draft, task_id, step)
     return True
 
--- a/azurelanding/pool_control.py
+++ b/azurelanding/pool_control.py
@@ -417,9 +417,11 @@
     def _place_step(self, draft, ready, waiting, free_capacity, limit):
         """Place up to ``limit`` tasks of a step, as ``_place`` does."""
         usable_workers = self.permits.usable_workers(ready, free_capacity, self.wake)
+        placed_tasks = job_placement.place(waiting, usable_workers, limit)
+        gang_run = self._next_gang_run(ready) if placed_tasks else None
         starts = []
-        for placed in job_placement.place(waiting, usable_workers, limit):
-            starts.append(self._start(draft, ready, placed))
+        for placed in placed_tasks:
+            starts.append(self._start(draft, ready, placed, gang_run))
             self._count_start(starts[-1][1])
         return starts
 
@@ -449,10 +451,10 @@
         self._count_start(order)
         return min(debt, longest)
 
-    def _start(self, draft, ready, placed):
+    def _start(self, draft, ready, placed, gang_run):
         job, task_id = ready.state.job, placed.task
         task = draft.job(job.id).task(task_id).copy()
-        task.last_run = self._next_run(draft, ready, task)
+        task.last_run = gang_run or task.last_run + 1
         task.active[task.last_run] = placed.worker
         draft.set_task(task_id, task)
         failures = task.failures
@@ -464,10 +466,10 @@
         order = StartOrder(task_id, task.last_run, spec, saved, ticket)
         return placed.worker, order
 
-    def _next_run(self, draft, ready, task):
-        """Return a task's next run number; all members of a gang get the same one."""
+    def _next_gang_run(self, ready):
+        """Return the next run number of all members of a gang, ``None`` without one."""
         if not ready.step.gang:
-            return task.last_run + 1
+            return None
         known = self.ledger.active[ready.state.job.id]
         return 1 + max(known.task(member).last_run for member in ready.tasks)
 
--- a/azurelanding/tests/test_pool_jobs.py
+++ b/azurelanding/tests/test_pool_jobs.py
@@ -20,7 +20,15 @@
 )
 from azurelanding.configuration import Configuration
 from azurelanding.job_draft import MAX_CHANGES_PER_KIND_COUNT, JobDraft
-from azurelanding.jobs import Job, JobOutcome, RunEnd, TaskId, TaskState, task_ids
+from azurelanding.jobs import (
+    Job,
+    JobOutcome,
+    JobState,
+    RunEnd,
+    TaskId,
+    TaskState,
+    task_ids,
+)
 from azurelanding.ledger import (
     JobCancelled,
     JobEnded,
@@ -417,6 +425,29 @@
                 return
         self.fail("the passes don't end")
 
+    def test_gang_is_started_and_ended_with_few_looks_at_each_member(self):
+        # Each start looked at all members, and so did each end.
+        self.ledger.apply(("job", self.job.id), None, self.end)
+        step = make_step(LARGE_COUNT, need=Resources(0.001, 1, 0), gang=True)
+        gang = make_job("3" * 16, (step,))
+        self.ledger.apply(("job", gang.id), JobSubmitted(gang), self.end + 1)
+        self.end += 2
+        task, looks = JobState.task, []
+
+        def count_look(state, task_id):
+            looks.append(task_id)
+            return task(state, task_id)
+
+        self.patch(JobState, "task", count_look)
+        self.run_pass()
+        self.assertEqual(LARGE_COUNT, self.ledger.active[gang.id].running)
+        self.assertThat(len(looks), LessThan(20 * LARGE_COUNT))
+        self.report_all(RunEnd.DONE)
+        looks.clear()
+        self.run_passes()
+        self.assertIs(JobOutcome.COMPLETED, self.ledger.jobs[gang.id].outcome)
+        self.assertThat(len(looks), LessThan(20 * LARGE_COUNT))
+
     def place_all(self):
         """Record a run of each task on a worker, as an earlier controller did."""
         for task in self.tasks:
@@ -463,7 +494,7 @@
     def report_all(self, end):
         """Let the workers report that all tasks have ended."""
         for worker, link in self.controller.links.items():
-            runs = list(self.ledger.placed[worker])
+            runs = list(self.ledger.placed.get(worker, ()))
             ends = [
                 ListedEnd(number, task, run, end, "")
                 for number, (task, run) in enumerate(runs, 1)
