Refuse a job without steps that repeats too often

Cause: the limit on tasks was checked at the door by their number, which is 0 without steps, and in the record by the number of occurrences too.

Change: both check the same. The answer is 400 and names the limit.

Test: test_invalid_job_is_refused has the job and fails before.

--- a/azurelanding/platform/callers.py
+++ b/azurelanding/platform/callers.py
@@ -138,8 +138,11 @@
         target_duration=queue.target_duration,
         account=account,
     )
-    if job.task_count > MAX_TASKS_PER_JOB:
-        raise JobFormatError(f"{job.task_count} tasks, at most {MAX_TASKS_PER_JOB}")
+    if max(job.task_count, job.occurrences) > MAX_TASKS_PER_JOB:
+        raise JobFormatError(
+            f"{job.task_count} tasks in {job.occurrences} occurrences, "
+            f"at most {MAX_TASKS_PER_JOB}"
+        )
     return job
 
 
--- a/azurelanding/tests/test_platform_wire.py
+++ b/azurelanding/tests/test_platform_wire.py
@@ -234,6 +234,8 @@
             b'{"spec": "s", "steps": [{"count": 1, "memMb": null}]}',
             b'{"spec": "s", "steps": [{"count": 1000000000}]}',
             b'{"spec": "s", "steps": [{"count": -1}]}',
+            # Its record could not be read again, so it was accepted and lost.
+            b'{"spec": "s", "steps": [], "repeatCount": 1000000}',
         ]
         for body in bodies:
             with testtools.ExpectedException(callers.JobFormatError):
