Keep whether a job lasts with the plan of its steps

Cause: the sort of ready steps asked each for the timeliness of its occurrence, which went through all steps to find one that lasts.

Change: StepPlan holds it.

--- a/azurelanding/job_placement.py
+++ b/azurelanding/job_placement.py
@@ -149,12 +149,12 @@
     others, and those that can only be late follow the worthless ones. For this only
     the chain of steps that begins with this one counts.
     """
-    job, occurrences = state.job, state.progress.open_occurrences(number)
-    due_count = job.count_due(now)
-    if job.occurrences == 1 or job.is_long_running:
+    job, plan = state.job, state.progress.plan
+    occurrences, due_count = state.progress.open_occurrences(number), job.count_due(now)
+    if job.occurrences == 1 or plan.is_long_running:
         yield from occurrences.between(0, due_count)
         return
-    ends_at, objective = now + state.progress.plan.tails[number], state.objective
+    ends_at, objective = now + plan.tails[number], state.objective
     in_time_from = min(due_count, job.first_due_from(ends_at - objective))
     late_from = job.first_due_from(ends_at - WORTHLESS_FACTOR * objective)
     late_from = min(in_time_from, late_from)
@@ -216,7 +216,7 @@
 def timeliness(state, occurrence, now):
     """Return the ``Timeliness`` of an occurrence whose ready steps start at ``now``."""
     job = state.job
-    if job.is_long_running:
+    if state.progress.plan.is_long_running:
         return Timeliness.LONG_RUNNING
     due_at, late_at = job.due_at(occurrence), deadline(state, occurrence)
     ends_at = now + state.progress.chain_left(occurrence)
--- a/azurelanding/pool_sizes.py
+++ b/azurelanding/pool_sizes.py
@@ -41,9 +41,10 @@
     if state.job.occurrences == 1:
         is_worth = timeliness(state, 0, now) in TIMELINESS_WORTH_HOSTS
         return 0 if is_worth else due_count
-    if state.job.is_long_running:
+    plan = state.progress.plan
+    if plan.is_long_running:
         return 0
-    ends_at = now + state.progress.plan.tails[number]
+    ends_at = now + plan.tails[number]
     return min(due_count, state.job.first_due_from(ends_at - state.objective))
 
 
--- a/azurelanding/step_progress.py
+++ b/azurelanding/step_progress.py
@@ -49,11 +49,13 @@
     ``dependents`` holds by step the numbers of the steps that wait for it, as often as
     they name it. ``chain`` is the estimated duration of the longest chain of steps in
     seconds, and ``tails`` by step that of the longest one that begins with it.
+    ``is_long_running`` says whether some of the steps run until the job is cancelled.
     """
 
     dependents: tuple[tuple[int, ...], ...]
     chain: float
     tails: tuple[float, ...]
+    is_long_running: bool
 
     @classmethod
     def from_steps(cls, steps):
@@ -66,7 +68,12 @@
         for number in reversed(range(len(steps))):
             following = max((tails[d] for d in dependents[number]), default=0.0)
             tails[number] = steps[number].estimate + following
-        return cls(tuple(map(tuple, dependents)), max(tails, default=0.0), tuple(tails))
+        return cls(
+            tuple(map(tuple, dependents)),
+            max(tails, default=0.0),
+            tuple(tails),
+            any(step.long_running for step in steps),
+        )
 
 
 @attrs.define(eq=False)
