--- a/azurelanding/tests/test_lease_handover.py
+++ b/azurelanding/tests/test_lease_handover.py
@@ -330,7 +330,7 @@
         return self
 
 
-def find_early(seeds=SEEDS):
+def find_freed_early(seeds=SEEDS):
     """Return the runs that were freed early on the first site that has some."""
     for seed in seeds:
         site = SimulatedSite(seed).play()
@@ -371,7 +371,7 @@
     """No run is freed while it goes on, and none is left on a worker that crashed."""
 
     def test_no_run_is_freed_while_it_goes_on(self):
-        self.assertIsNone(find_early())
+        self.assertIsNone(find_freed_early())
 
     def test_no_run_is_left_on_a_worker_that_crashed(self):
         for seed in SEEDS[:100]:
@@ -381,7 +381,7 @@
 
     def assert_found(self, owner, name, rule):
         with unittest.mock.patch.object(owner, name, rule):
-            self.assertIsNotNone(find_early())
+            self.assertIsNotNone(find_freed_early())
 
     def test_search_finds_two_controllers_that_each_hear_from_half(self):
         self.assert_found(LeasePermission, "_hears_from_most", permit_half)
