Place no task on a worker whose lease is over

What callers saw: nothing yet. With leases of 1 s, as tests have them, a worker that fell silent got a task, had it freed and got it again 190 times a second, until it counted as silent after 2 s.

Cause: a worker counts as silent 2 s after its last report, and its lease may be over before.

Change: a worker whose lease is over gets no tasks until it reports.

Leases of the platform are 6 s and more.

--- a/azurelanding/worker_capacity.py
+++ b/azurelanding/worker_capacity.py
@@ -13,7 +13,8 @@
 def is_usable(link, registered, excluded, worker_failures):
     """Return whether tasks may be placed on a worker now.
 
-    Workers in ``excluded`` get no starts, as they are being drained.
+    Workers in ``excluded`` get no starts, as they are being drained. One whose lease is
+    over would end them at once.
     """
     entry, now = link.entry, boot_time()
     return (
@@ -21,7 +22,7 @@
         and entry.phase is WorkerPhase.READY
         and entry.id not in excluded
         and link.has_answered
-        and not (link.has_ended or link.is_silent)
+        and not (link.has_ended or link.is_silent or link.is_lease_over(now))
         and now >= link.no_starts_until
         and not link.has_slow_starts(now)
         and not worker_failures.is_suspended(entry.id, now)
